--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/common/ErrorKind.java
@@ -0,0 +1,71 @@
+package org.goldcrestfall.core.common;
+
+import static org.goldcrestfall.core.common.RunState.NOT_RUN;
+import static org.goldcrestfall.core.common.RunState.RAN;
+import static org.goldcrestfall.core.common.RunState.UNKNOWN_OUTCOME;
+
+import com.google.common.base.Ascii;
+
+/**
+ * The closed list of error kinds with the answer to each: HTTP status, whether the request ran, and
+ * whether sending it again, unchanged and under the same id, is useful.
+ */
+public enum ErrorKind {
+  MALFORMED_REQUEST(400, NOT_RUN, false),
+  INVALID_PARAMETER(400, NOT_RUN, false),
+  BODY_TOO_LARGE(413, NOT_RUN, false),
+  HEADER_TOO_LARGE(431, NOT_RUN, false),
+  UNKNOWN_MODEL(404, NOT_RUN, false),
+  UNKNOWN_SERVICE(404, NOT_RUN, false),
+  NOT_FOUND(404, NOT_RUN, false),
+  UNAUTHENTICATED(401, NOT_RUN, false),
+  KEY_REVOKED(401, NOT_RUN, false),
+  FORBIDDEN(403, NOT_RUN, false),
+  REQUEST_ID_REUSED(422, NOT_RUN, false),
+  BUDGET_EXHAUSTED(402, NOT_RUN, false),
+  RATE_LIMITED(429, NOT_RUN, true),
+  CONCURRENCY_LIMITED(429, NOT_RUN, true),
+  OVERLOADED(503, NOT_RUN, true),
+  DEADLINE_UNREACHABLE(503, NOT_RUN, true),
+  NO_UPSTREAM(503, NOT_RUN, true),
+  NO_QUORUM(503, NOT_RUN, true),
+  DRAINING(503, NOT_RUN, true),
+  UPSTREAM_FAILED(502, RAN, true),
+  DEADLINE_EXCEEDED(504, RAN, true),
+  BOOKING_IN_PROGRESS(409, UNKNOWN_OUTCOME, true),
+  OUTCOME_UNKNOWN(409, UNKNOWN_OUTCOME, false),
+  PLAN_CONFLICT(409, NOT_RUN, false),
+  PLAN_CLOSED(409, NOT_RUN, false),
+  OPERATION_REUSED(409, NOT_RUN, false),
+  INTERNAL(500, UNKNOWN_OUTCOME, true);
+
+  private final int status;
+  private final RunState run;
+  private final boolean retry;
+
+  ErrorKind(int status, RunState run, boolean retry) {
+    this.status = status;
+    this.run = run;
+    this.retry = retry;
+  }
+
+  /** Returns the HTTP status. */
+  public int status() {
+    return status;
+  }
+
+  /** Returns what is known about the execution of the request. */
+  public RunState run() {
+    return run;
+  }
+
+  /** Returns whether sending the request again is useful. */
+  public boolean retry() {
+    return retry;
+  }
+
+  /** Returns the machine code in lower snake case. */
+  public String code() {
+    return Ascii.toLowerCase(name());
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/control/BillingRecord.java
@@ -0,0 +1,16 @@
+package org.goldcrestfall.core.control;
+
+/**
+ * The one charge for a request. {@code tokens} is the charge in budget tokens; {@code promptTokens}
+ * and {@code outputTokens} are what the upstream counted (0 for plain services).
+ */
+public record BillingRecord(
+    String workspace,
+    String requestId,
+    String bodyHash,
+    String target,
+    String patienceClass,
+    long promptTokens,
+    long outputTokens,
+    long tokens,
+    long atMillis) {}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/control/ControlQuery.java
@@ -0,0 +1,47 @@
+package org.goldcrestfall.core.control;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/** A read of the control state; the answer is JSON of the records named at each query. */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
+@JsonSubTypes({
+  @JsonSubTypes.Type(value = ControlQuery.Workspaces.class, name = "workspaces"),
+  @JsonSubTypes.Type(value = ControlQuery.Budget.class, name = "budget"),
+  @JsonSubTypes.Type(value = ControlQuery.Billing.class, name = "billing"),
+  @JsonSubTypes.Type(value = ControlQuery.BillingOf.class, name = "billing_of"),
+  @JsonSubTypes.Type(value = ControlQuery.Bookings.class, name = "bookings"),
+  @JsonSubTypes.Type(value = ControlQuery.PlanOf.class, name = "plan_of"),
+  @JsonSubTypes.Type(value = ControlQuery.Audit.class, name = "audit"),
+  @JsonSubTypes.Type(value = ControlQuery.Hosts.class, name = "hosts"),
+  @JsonSubTypes.Type(value = ControlQuery.Orders.class, name = "orders")
+})
+public sealed interface ControlQuery {
+
+  /** All workspaces: a list of {@code ConfigView.Workspace}. */
+  record Workspaces() implements ControlQuery {}
+
+  /** The budget of a workspace: a {@code BudgetView}. */
+  record Budget(String workspace) implements ControlQuery {}
+
+  /** The newest billing records of a workspace: a list of {@link BillingRecord}. */
+  record Billing(String workspace, int limit) implements ControlQuery {}
+
+  /** The billing record of a request: a list of none or one {@link BillingRecord}. */
+  record BillingOf(String workspace, String requestId) implements ControlQuery {}
+
+  /** The newest bookings of a workspace: a list of {@link Booking}. */
+  record Bookings(String workspace, int limit) implements ControlQuery {}
+
+  /** One plan: a {@link Plan}. */
+  record PlanOf(long planId) implements ControlQuery {}
+
+  /** The newest audit entries, of one object where {@code object} is not empty. */
+  record Audit(String object, int limit) implements ControlQuery {}
+
+  /** The registered hosts with their newest incarnation. */
+  record Hosts() implements ControlQuery {}
+
+  /** The newest orders to engines. */
+  record Orders(int limit) implements ControlQuery {}
+}
--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/common/ErrorKindTest.java
@@ -0,0 +1,24 @@
+package org.goldcrestfall.core.common;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+
+/** Guards the table of error answers against rows that mislead a caller about execution. */
+final class ErrorKindTest {
+
+  @Example
+  void refusalBeforeDispatchSaysNotRun() {
+    for (ErrorKind k : ErrorKind.values()) {
+      if (k.status() == 429 || k.status() == 402 || k.status() == 503) {
+        assertThat(k.run()).as(k.code()).isEqualTo(RunState.NOT_RUN);
+      }
+    }
+  }
+
+  @Example
+  void unknownBookingIsNeverOfferedForRetry() {
+    assertThat(ErrorKind.OUTCOME_UNKNOWN.retry()).isFalse();
+    assertThat(ErrorKind.OUTCOME_UNKNOWN.run()).isEqualTo(RunState.UNKNOWN_OUTCOME);
+  }
+}
