Add settings, logs, metrics, the HTTP front and the first request filters

Cause: the daemon needs its frame before the replicated state and the request decisions are wired in. Change: settings file checked as a whole, log formats, Prometheus metrics, HTTP server with endpoints for the platform and operators, server-sent event decoder, clients for engines and services, and the filters that authenticate, parse, prioritize and reserve. The daemon does not serve requests yet.

--- a/core/src/main/java/org/goldcrestfall/core/common/MillisClock.java
+++ b/core/src/main/java/org/goldcrestfall/core/common/MillisClock.java
@@ -1,8 +1,9 @@
 package org.goldcrestfall.core.common;
 
 /**
- * The project's only source of time: milliseconds that never run backwards within a process. The
- * zero point is arbitrary, so values from two processes are not comparable.
+ * The project's only source of time, in milliseconds. Decisions take the monotonic clock, whose
+ * zero point is arbitrary, so its values from two processes are not comparable. The UTC clock can
+ * jump and serves only the audit trail and billing records.
  */
 @FunctionalInterface
 public interface MillisClock {
@@ -11,8 +12,13 @@
   long nowMillis();
 
   /** Returns a clock that reads the monotonic clock of the machine. */
-  static MillisClock system() {
+  static MillisClock monotonic() {
     final long start = System.nanoTime();
     return () -> (System.nanoTime() - start) / 1_000_000L;
   }
+
+  /** Returns a clock that counts from 1970-01-01 UTC. */
+  static MillisClock utc() {
+    return System::currentTimeMillis;
+  }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/Budgets.java
@@ -0,0 +1,20 @@
+package org.goldcrestfall.daemon.budget;
+
+import java.util.concurrent.CompletionStage;
+import org.goldcrestfall.core.control.BillingRecord;
+
+/** Reservations against the allotments of this router. All methods are thread-safe. */
+public interface Budgets {
+
+  /**
+   * Sets tokens aside, asking the control group or other routers for more if needed. Fails with
+   * {@code RequestFailure(BUDGET_EXHAUSTED)}.
+   */
+  CompletionStage<Reservation> reserve(String workspace, long tokens);
+
+  /** Settles a reservation with the request's billing record; the rest of it becomes free. */
+  void settle(Reservation reservation, BillingRecord record);
+
+  /** Frees a reservation whose request used nothing. */
+  void release(Reservation reservation);
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/RequestContext.java
@@ -0,0 +1,149 @@
+package org.goldcrestfall.daemon.filter;
+
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.goldcrestfall.core.control.ConfigView;
+import org.goldcrestfall.daemon.budget.Reservation;
+import org.goldcrestfall.daemon.http.CallerConnection;
+import org.goldcrestfall.daemon.upstream.ChatCall;
+
+/**
+ * A caller's request with what the filters have found out about it. Each field is set by one filter
+ * before the next one runs, so no locking is needed.
+ */
+public final class RequestContext {
+
+  private final HttpRequest http;
+  private final CallerConnection connection;
+  private final long arrivedMillis;
+  private ConfigView config;
+  private ConfigView.Workspace workspace;
+  private ConfigView.Key key;
+  private ChatCall chat;
+  private ServiceCall service;
+  private int bodyBytes;
+  private String requestId = "";
+  private boolean idFromCaller;
+  private String bodyHash;
+  private ConfigView.PatienceClass patience;
+  private long deadlineMillis;
+  private Reservation reservation;
+
+  /** Creates the context of a request that arrived at {@code arrivedMillis}. */
+  public RequestContext(HttpRequest http, CallerConnection connection, long arrivedMillis) {
+    this.http = http;
+    this.connection = connection;
+    this.arrivedMillis = arrivedMillis;
+  }
+
+  /** Returns the HTTP request. */
+  public HttpRequest http() {
+    return http;
+  }
+
+  /** Returns the caller's connection. */
+  public CallerConnection connection() {
+    return connection;
+  }
+
+  /** Returns the time of arrival in milliseconds of the daemon's clock. */
+  public long arrivedMillis() {
+    return arrivedMillis;
+  }
+
+  void authenticated(ConfigView view, ConfigView.Key k, ConfigView.Workspace w) {
+    config = view;
+    key = k;
+    workspace = w;
+  }
+
+  void parsed(ChatCall call, String hash, int bytes) {
+    chat = call;
+    bodyHash = hash;
+    bodyBytes = bytes;
+  }
+
+  void parsed(ServiceCall call, String hash, int bytes) {
+    service = call;
+    bodyHash = hash;
+    bodyBytes = bytes;
+  }
+
+  void identified(String id, boolean fromCaller) {
+    requestId = id;
+    idFromCaller = fromCaller;
+  }
+
+  void prioritized(ConfigView.PatienceClass c, long deadline) {
+    patience = c;
+    deadlineMillis = deadline;
+  }
+
+  void reserved(Reservation r) {
+    reservation = r;
+  }
+
+  /** Returns the configuration that the request is served under. */
+  public ConfigView config() {
+    return config;
+  }
+
+  /** Returns the caller's key. */
+  public ConfigView.Key key() {
+    return key;
+  }
+
+  /** Returns the caller's workspace. */
+  public ConfigView.Workspace workspace() {
+    return workspace;
+  }
+
+  /** Returns whether this is a chat completion rather than a service call. */
+  public boolean isChat() {
+    return chat != null;
+  }
+
+  /** Returns the chat completion. */
+  public ChatCall chat() {
+    return chat;
+  }
+
+  /** Returns the service call. */
+  public ServiceCall service() {
+    return service;
+  }
+
+  /** Returns the size of the body in bytes. */
+  public int bodyBytes() {
+    return bodyBytes;
+  }
+
+  /** Returns the id of the request within its workspace; empty before it is known. */
+  public String requestId() {
+    return requestId;
+  }
+
+  /** Returns whether the caller chose the id, so that a retry may come under it. */
+  public boolean isIdFromCaller() {
+    return idFromCaller;
+  }
+
+  /** Returns the hash of target and body, which every retry must repeat. */
+  public String bodyHash() {
+    return bodyHash;
+  }
+
+  /** Returns the patience class. */
+  public ConfigView.PatienceClass patience() {
+    return patience;
+  }
+
+  /** Returns the time by which the first token or the answer is due. */
+  public long deadlineMillis() {
+    return deadlineMillis;
+  }
+
+  /** Returns the reserved tokens. */
+  public Reservation reservation() {
+    return reservation;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/ReserveFilter.java
@@ -0,0 +1,34 @@
+package org.goldcrestfall.daemon.filter;
+
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.goldcrestfall.daemon.budget.Budgets;
+
+/** Reserves the worst-case price before anything is sent to an upstream. */
+public final class ReserveFilter implements RequestFilter {
+
+  private final Budgets budgets;
+
+  /** Creates the filter. */
+  public ReserveFilter(Budgets budgets) {
+    this.budgets = budgets;
+  }
+
+  @Override
+  public CompletionStage<HttpResponse> apply(RequestContext c, Next next) {
+    return budgets
+        .reserve(c.workspace().name(), worstCase(c))
+        .thenCompose(
+            r -> {
+              c.reserved(r);
+              return next.proceed(c);
+            });
+  }
+
+  private static long worstCase(RequestContext c) {
+    if (!c.isChat()) {
+      return c.service().service().priceTokens();
+    }
+    return c.patience().price(c.chat().promptBound() + c.chat().maxTokens());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/http/HttpFront.java
@@ -0,0 +1,122 @@
+package org.goldcrestfall.daemon.http;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.IncomingConnection;
+import org.apache.pekko.http.javadsl.ServerBinding;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.Connection;
+import org.apache.pekko.stream.SystemMaterializer;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.util.ByteString;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.RequestFailure;
+import org.goldcrestfall.daemon.settings.Settings;
+
+/**
+ * The HTTP server. Hands each request to the first endpoint that accepts its path, maps failures to
+ * answers, counts open requests, and tells the endpoint when a caller closes its connection.
+ */
+public final class HttpFront {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final ActorSystem<?> system;
+  private final Settings settings;
+  private final List<Endpoint> endpoints;
+  private final OpenRequests open;
+  private CompletionStage<ServerBinding> binding;
+
+  /** Creates the server; {@link #start} binds it. */
+  public HttpFront(
+      ActorSystem<?> system, Settings settings, List<Endpoint> endpoints, OpenRequests open) {
+    this.system = system;
+    this.settings = settings;
+    this.endpoints = List.copyOf(endpoints);
+    this.open = open;
+  }
+
+  /** Binds the listening address. */
+  public CompletionStage<ServerBinding> start() {
+    binding =
+        Http.get(system)
+            .newServerAt(settings.http().address(), settings.http().port())
+            .connectionSource()
+            .toMat(Sink.foreach(this::accept), Keep.left())
+            .run(system);
+    return binding;
+  }
+
+  /** Stops accepting connections; open ones go on. */
+  public CompletionStage<Void> unbind() {
+    return binding.thenCompose(ServerBinding::unbind).thenApply(d -> null);
+  }
+
+  private void accept(IncomingConnection c) {
+    CallerConnection connection = new CallerConnection();
+    Flow<HttpRequest, HttpResponse, NotUsed> flow =
+        Flow.of(HttpRequest.class)
+            .watchTermination(
+                (m, done) -> {
+                  done.whenComplete((d, e) -> connection.markClosed());
+                  return m;
+                })
+            .mapAsync(1, r -> answer(r, connection));
+    c.handleWith(flow, SystemMaterializer.get(system).materializer());
+  }
+
+  private CompletionStage<HttpResponse> answer(HttpRequest request, CallerConnection connection) {
+    open.enter();
+    return dispatch(request, connection)
+        .handle((r, e) -> e == null ? r : failed(request, e))
+        .thenApply(this::track);
+  }
+
+  private CompletionStage<HttpResponse> dispatch(HttpRequest request, CallerConnection connection) {
+    String path = request.getUri().path();
+    try {
+      for (Endpoint e : endpoints) {
+        if (e.accepts(path)) {
+          return e.handle(request, connection);
+        }
+      }
+      request.discardEntityBytes(system);
+      throw new RequestFailure(ErrorKind.NOT_FOUND, "There is nothing at " + path + ".");
+    } catch (RuntimeException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  private static HttpResponse failed(HttpRequest request, Throwable e) {
+    RequestFailure f = Answers.toFailure(e);
+    if (f.kind() == ErrorKind.INTERNAL) {
+      logger.atWarning().withCause(Answers.unwrap(e)).log(
+          "http: request to %s failed with an internal error", request.getUri().path());
+    }
+    return Answers.failure(f, "");
+  }
+
+  /** Counts the request as open until the last byte of the answer was handed to the connection. */
+  private HttpResponse track(HttpResponse r) {
+    HttpResponse out = open.isDraining() ? r.addHeader(Connection.create("close")) : r;
+    if (out.entity().isStrict()) {
+      open.exit();
+      return out;
+    }
+    return out.transformEntityDataBytes(
+        Flow.of(ByteString.class)
+            .watchTermination(
+                (m, done) -> {
+                  done.whenComplete((d, e) -> open.exit());
+                  return m;
+                }));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/http/Json.java
@@ -0,0 +1,78 @@
+package org.goldcrestfall.daemon.http;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.core.StreamReadConstraints;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.PropertyNamingStrategies;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.RequestFailure;
+
+/** JSON of the HTTP APIs: snake case, unknown fields refused, nesting bounded. */
+public final class Json {
+
+  private static final int MAX_NESTING = 64;
+
+  private static final JsonMapper MAPPER =
+      JsonMapper.builder(
+              JsonFactory.builder()
+                  .streamReadConstraints(
+                      StreamReadConstraints.builder().maxNestingDepth(MAX_NESTING).build())
+                  .build())
+          .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
+          .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
+          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
+          .build();
+
+  private Json() {}
+
+  /** Returns the mapper of the HTTP APIs. */
+  public static JsonMapper mapper() {
+    return MAPPER;
+  }
+
+  /** Parses a JSON text, or fails with {@link ErrorKind#MALFORMED_REQUEST}. */
+  public static JsonNode parse(byte[] text) {
+    try {
+      JsonNode n = MAPPER.readTree(text);
+      if (n != null && n.isObject()) {
+        return n;
+      }
+    } catch (IOException e) {
+      throw malformed(e);
+    }
+    throw new RequestFailure(ErrorKind.MALFORMED_REQUEST, "The body must be a JSON object.");
+  }
+
+  /** Converts a JSON tree to a record, or fails with {@link ErrorKind#INVALID_PARAMETER}. */
+  public static <T> T convert(JsonNode n, Class<T> type) {
+    try {
+      return MAPPER.treeToValue(n, type);
+    } catch (JsonProcessingException | IllegalArgumentException e) {
+      String m = e instanceof JsonProcessingException p ? p.getOriginalMessage() : e.getMessage();
+      throw new RequestFailure(ErrorKind.INVALID_PARAMETER, firstLine(m));
+    }
+  }
+
+  /** Serializes a value. */
+  public static byte[] bytes(Object value) {
+    try {
+      return MAPPER.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("value cannot be serialized: " + value.getClass(), e);
+    }
+  }
+
+  private static RequestFailure malformed(IOException e) {
+    String m = e instanceof JsonProcessingException p ? p.getOriginalMessage() : e.getMessage();
+    return new RequestFailure(
+        ErrorKind.MALFORMED_REQUEST, "The body is not valid JSON: " + firstLine(m));
+  }
+
+  private static String firstLine(String m) {
+    return m == null ? "no detail" : m.lines().findFirst().orElse("no detail");
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/log/package-info.java
@@ -0,0 +1,2 @@
+/** Log output of the daemon. */
+package org.goldcrestfall.daemon.log;
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/metrics/package-info.java
@@ -0,0 +1,2 @@
+/** Prometheus metrics of the daemon. */
+package org.goldcrestfall.daemon.metrics;
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/package-info.java
@@ -0,0 +1,2 @@
+/** The daemon {@code goldcrestfalld}: start, wiring and shutdown. */
+package org.goldcrestfall.daemon;
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ServiceClient.java
@@ -0,0 +1,87 @@
+package org.goldcrestfall.daemon.upstream;
+
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.Http;
+import org.apache.pekko.http.javadsl.OutgoingConnection;
+import org.apache.pekko.http.javadsl.model.HttpEntity;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.javadsl.Flow;
+import org.apache.pekko.stream.javadsl.Keep;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+
+/**
+ * Calls plain services, each call on a connection of its own: on a pooled connection it cannot be
+ * told whether a request was sent before the connection broke, and a booking depends on that.
+ */
+public final class ServiceClient {
+
+  /** Longest answer of a plain service, in bytes. */
+  public static final long MAX_ANSWER_BYTES = 4L << 20;
+
+  private final ActorSystem<?> system;
+
+  /** Creates a client. */
+  public ServiceClient(ActorSystem<?> system) {
+    this.system = system;
+  }
+
+  /**
+   * Sends a request and reads the whole answer. Fails with {@link NotSentException} if no
+   * connection could be opened, otherwise with {@link IOException} and unknown outcome.
+   *
+   * @param address IP address and port of the service
+   */
+  public CompletionStage<ServiceAnswer> call(
+      String address, HttpRequest request, long timeoutMillis) {
+    int colon = address.lastIndexOf(':');
+    String host = address.substring(0, colon);
+    int port = Integer.parseInt(address.substring(colon + 1));
+    Flow<HttpRequest, HttpResponse, CompletionStage<OutgoingConnection>> connection =
+        Http.get(system).connectionTo(host).toPort(port).http();
+    CompletableFuture<HttpRequest> gate = new CompletableFuture<>();
+    Pair<CompletionStage<OutgoingConnection>, CompletionStage<HttpResponse>> run =
+        Source.completionStage(gate)
+            .viaMat(connection, Keep.right())
+            .toMat(Sink.head(), Keep.both())
+            .run(system);
+    CompletableFuture<ServiceAnswer> out = new CompletableFuture<>();
+    // The request enters the stream only when the connection stands, so a failed connect is
+    // certain not to have sent any byte.
+    run.first()
+        .whenComplete(
+            (c, e) -> {
+              if (e != null) {
+                out.completeExceptionally(
+                    new NotSentException("connection to " + address + " failed", e));
+              }
+              gate.complete(request);
+            });
+    run.second()
+        .thenCompose(r -> strict(r, timeoutMillis))
+        .whenComplete(
+            (a, e) -> {
+              if (e == null) {
+                out.complete(a);
+              } else if (!run.first().toCompletableFuture().isCompletedExceptionally()) {
+                out.completeExceptionally(new IOException("call to " + address + " failed", e));
+              }
+            });
+    return out.orTimeout(timeoutMillis, java.util.concurrent.TimeUnit.MILLISECONDS);
+  }
+
+  private CompletionStage<ServiceAnswer> strict(HttpResponse r, long timeoutMillis) {
+    return r.entity()
+        .withSizeLimit(MAX_ANSWER_BYTES)
+        .toStrict(timeoutMillis, system)
+        .thenApply(
+            (HttpEntity.Strict s) ->
+                new ServiceAnswer(
+                    r.status().intValue(), s.getContentType().toString(), s.getData().toArray()));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/SseDecoder.java
@@ -0,0 +1,135 @@
+package org.goldcrestfall.daemon.upstream;
+
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonParser;
+import com.fasterxml.jackson.core.JsonToken;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import org.apache.pekko.util.ByteString;
+
+/**
+ * Decodes server-sent events of the chat-completions form. Feeds on chunks of any size; an event
+ * may span chunks. Not thread-safe.
+ */
+public final class SseDecoder {
+
+  /** Longest line of an engine's stream, in bytes; a longer one is a protocol error. */
+  static final int MAX_LINE_BYTES = 1 << 20;
+
+  private static final JsonFactory FACTORY = new JsonFactory();
+  private static final byte[] DATA = {'d', 'a', 't', 'a', ':'};
+  private static final byte[] DONE = {'[', 'D', 'O', 'N', 'E', ']'};
+
+  private byte[] pending = new byte[0];
+  private boolean done;
+
+  /** Returns whether the end mark of the stream was read. */
+  public boolean isDone() {
+    return done;
+  }
+
+  /** Decodes the events that {@code chunk} completes. */
+  public List<TokenEvent> decode(ByteString chunk) throws IOException {
+    byte[] bytes = join(chunk);
+    List<TokenEvent> out = new ArrayList<>(2);
+    int start = 0;
+    for (int i = 0; i < bytes.length; i++) {
+      if (bytes[i] == '\n') {
+        decodeLine(bytes, start, i, out);
+        start = i + 1;
+      }
+    }
+    pending = start == 0 ? bytes : Arrays.copyOfRange(bytes, start, bytes.length);
+    if (pending.length > MAX_LINE_BYTES) {
+      throw new IOException("engine sent a line of more than " + MAX_LINE_BYTES + " bytes");
+    }
+    return out;
+  }
+
+  private byte[] join(ByteString chunk) {
+    if (pending.length == 0) {
+      return chunk.toArray();
+    }
+    byte[] all = Arrays.copyOf(pending, pending.length + chunk.size());
+    System.arraycopy(chunk.toArray(), 0, all, pending.length, chunk.size());
+    return all;
+  }
+
+  private void decodeLine(byte[] b, int from, int to, List<TokenEvent> out) throws IOException {
+    int end = to > from && b[to - 1] == '\r' ? to - 1 : to;
+    if (end - from < DATA.length
+        || !Arrays.equals(b, from, from + DATA.length, DATA, 0, DATA.length)) {
+      return;
+    }
+    int i = from + DATA.length;
+    while (i < end && b[i] == ' ') {
+      i++;
+    }
+    if (end - i == DONE.length && Arrays.equals(b, i, end, DONE, 0, DONE.length)) {
+      done = true;
+      return;
+    }
+    try (JsonParser p = FACTORY.createParser(b, i, end - i)) {
+      out.add(new EventReader(p).read());
+    }
+  }
+
+  /** Reads one event; fields that are not needed are skipped. */
+  private static final class EventReader {
+
+    private final JsonParser parser;
+    private long offset = -1;
+    private String text;
+    private String finishReason;
+    private long promptTokens = -1;
+    private long outputTokens = -1;
+
+    EventReader(JsonParser parser) {
+      this.parser = parser;
+    }
+
+    TokenEvent read() throws IOException {
+      if (parser.nextToken() != JsonToken.START_OBJECT) {
+        throw new IOException("engine sent an event that is not a JSON object");
+      }
+      readObject();
+      return new TokenEvent(
+          text == null ? -1 : offset, text, finishReason, promptTokens, outputTokens);
+    }
+
+    private void readObject() throws IOException {
+      while (parser.nextToken() == JsonToken.FIELD_NAME) {
+        String name = parser.currentName();
+        JsonToken t = parser.nextToken();
+        switch (name) {
+          case "offset" -> offset = t.isNumeric() ? parser.getLongValue() : -1;
+          case "content" -> text = t == JsonToken.VALUE_STRING ? parser.getText() : null;
+          case "finish_reason" ->
+              finishReason = t == JsonToken.VALUE_STRING ? parser.getText() : null;
+          case "prompt_tokens" -> promptTokens = t.isNumeric() ? parser.getLongValue() : -1;
+          case "completion_tokens" -> outputTokens = t.isNumeric() ? parser.getLongValue() : -1;
+          case "delta", "message", "usage" -> descend(t);
+          case "choices" -> readChoices(t);
+          default -> parser.skipChildren();
+        }
+      }
+    }
+
+    private void descend(JsonToken t) throws IOException {
+      if (t == JsonToken.START_OBJECT) {
+        readObject();
+      }
+    }
+
+    private void readChoices(JsonToken t) throws IOException {
+      if (t != JsonToken.START_ARRAY) {
+        return;
+      }
+      while (parser.nextToken() != JsonToken.END_ARRAY) {
+        descend(parser.currentToken());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/package-info.java
@@ -0,0 +1,2 @@
+/** HTTP calls to model engines and plain services. */
+package org.goldcrestfall.daemon.upstream;
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/settings/SettingsReaderTest.java
@@ -0,0 +1,80 @@
+package org.goldcrestfall.daemon.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.nio.file.Path;
+import net.jqwik.api.Example;
+
+/** Guards against a daemon that starts with settings it does not understand. */
+final class SettingsReaderTest {
+
+  private static final String VALID =
+      """
+      {"host": "a1", "zone": "zone-a", "roles": ["router", "control"],
+       "http": {"address": "127.0.0.1", "port": 8080},
+       "peer": {"address": "127.0.0.1", "port": 9080, "key": "0123456789abcdef"},
+       "seeds": ["127.0.0.1:9080"],
+       "controlMembers": [{"host": "a1", "address": "127.0.0.1:9080"}],
+       "dataFolder": "data",
+       "operators": [],
+       "upstreamKeySha256": "%s"}
+      """
+          .formatted("0".repeat(64));
+
+  private static ObjectNode valid() throws Exception {
+    return (ObjectNode) new JsonMapper().readTree(VALID);
+  }
+
+  private static SettingsException refused(ObjectNode n) {
+    return catchThrowableOfType(SettingsException.class, () -> SettingsReader.parse(n));
+  }
+
+  @Example
+  void validSettingsAreReadWithDefaults() throws Exception {
+    Settings s = SettingsReader.parse(valid());
+    assertThat(s.has(Role.CONTROL)).isTrue();
+    assertThat(s.limits().maxBodyBytes()).isEqualTo(1 << 20);
+    assertThat(s.drain().notReadyMillis()).isEqualTo(2_000);
+  }
+
+  @Example
+  void unknownKeyIsNamedWithItsPath() throws Exception {
+    ObjectNode n = valid();
+    ((ObjectNode) n.get("http")).put("prot", 1);
+    assertThat(refused(n).faults()).singleElement().asString().startsWith("http.prot: 1, expected");
+  }
+
+  @Example
+  void everyFaultIsReportedAtOnce() throws Exception {
+    ObjectNode n = valid();
+    n.put("host", "Not A Host");
+    n.remove("dataFolder");
+    ((ObjectNode) n.get("http")).put("port", 70_000);
+    ((ObjectNode) n.get("peer")).put("port", "nine");
+    assertThat(refused(n).faults())
+        .hasSize(4)
+        .anyMatch(f -> f.startsWith("host: \"Not A Host\", expected"))
+        .anyMatch(f -> f.startsWith("http.port: 70000, expected a whole number from 1 to 65535"))
+        .anyMatch(f -> f.startsWith("peer.port: \"nine\", expected"))
+        .anyMatch(f -> f.startsWith("dataFolder: missing, expected"));
+  }
+
+  @Example
+  void sharedKeyIsNotShownInFaults() throws Exception {
+    ObjectNode n = valid();
+    ((ObjectNode) n.get("peer")).put("key", "secret");
+    assertThat(refused(n).faults().toString()).doesNotContain("secret").contains("peer.key");
+  }
+
+  @Example
+  void missingFileIsNamed() {
+    SettingsException e =
+        catchThrowableOfType(
+            SettingsException.class, () -> SettingsReader.read(Path.of("no-such-file.json")));
+    assertThat(e.faults())
+        .containsExactly("no-such-file.json: missing, expected a readable JSON file");
+  }
+}
