Add the Netty transport between daemons

Cause: daemons need authenticated messages and calls whose failures tell whether the message may have been sent. Change: NettyPeerTransport with framed envelopes, mutual HMAC-SHA256 handshake, reconnects with jittered backoff, write watermark, call timeouts and counted refusals. A call that was never handed to the socket fails with ConnectException also when its time is up; a failure that the peer reports is a RemoteFailure.

--- /dev/null
+++ b/wire/src/main/java/org/goldcrestfall/wire/PeerSettings.java
@@ -0,0 +1,22 @@
+package org.goldcrestfall.wire;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+/**
+ * Settings of the transport between daemons. Port 0 binds a free port. Daemons with another cluster
+ * name or another key are refused.
+ */
+public record PeerSettings(String host, String bindAddress, int port, String cluster, byte[] key) {
+
+  /** Shortest accepted key. */
+  public static final int MIN_KEY_BYTES = 16;
+
+  /** Checks the arguments. */
+  public PeerSettings {
+    checkArgument(!host.isEmpty(), "host must not be empty");
+    checkArgument(!cluster.isEmpty(), "cluster must not be empty");
+    checkArgument(port >= 0 && port <= 65535, "port must be 0 to 65535: %s", port);
+    checkArgument(key.length >= MIN_KEY_BYTES, "key must have at least %s bytes", MIN_KEY_BYTES);
+    key = key.clone();
+  }
+}
--- /dev/null
+++ b/wire/src/test/java/org/goldcrestfall/wire/NettyPeerTransportTest.java
@@ -0,0 +1,230 @@
+package org.goldcrestfall.wire;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.net.ConnectException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.wire.generated.AnswerChunk;
+import org.goldcrestfall.wire.generated.Body;
+import org.goldcrestfall.wire.generated.ConfigReply;
+import org.goldcrestfall.wire.generated.ConfigRequest;
+
+class NettyPeerTransportTest {
+
+  private static final long PATIENCE_MILLIS = 10_000;
+  private final List<AutoCloseable> opened = new ArrayList<>();
+
+  @AfterTry
+  void closeAll() throws Exception {
+    for (AutoCloseable c : opened) {
+      c.close();
+    }
+  }
+
+  private NettyPeerTransport open(String host, int port, TransportListener listener)
+      throws IOException {
+    var s = new PeerSettings(host, "127.0.0.1", port, RawPeer.CLUSTER, RawPeer.KEY);
+    var t = new NettyPeerTransport(s, listener);
+    opened.add(t);
+    return t;
+  }
+
+  private NettyPeerTransport open(String host) throws IOException {
+    return open(host, 0, TransportListener.NONE);
+  }
+
+  private ServerSocket listen() throws IOException {
+    var s = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    opened.add(s);
+    return s;
+  }
+
+  private static Body request(long revision) {
+    var r = ConfigRequest.newBuilder().setRevision(revision);
+    return Body.newBuilder().setConfigRequest(r).build();
+  }
+
+  private static Body reply(long revision) {
+    var r = ConfigReply.newBuilder().setRevision(revision);
+    return Body.newBuilder().setConfigReply(r).build();
+  }
+
+  private static Throwable failure(CompletableFuture<Body> call) throws Exception {
+    try {
+      call.get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException e) {
+      return e.getCause();
+    }
+    throw new AssertionError("call did not fail");
+  }
+
+  // Guards against replies that reach another call and against a lost sender identity.
+  @Example
+  void everyCallGetsItsOwnReplyFromTheProvenHost() throws Exception {
+    NettyPeerTransport a = open("a");
+    NettyPeerTransport b = open("b");
+    List<Incarnation> senders = new ArrayList<>();
+    List<Runnable> held = new ArrayList<>();
+    b.handle(
+        Body.KindCase.CONFIG_REQUEST,
+        (sender, body) -> {
+          CompletableFuture<Body> result = new CompletableFuture<>();
+          senders.add(sender);
+          held.add(() -> result.complete(reply(body.getConfigRequest().getRevision())));
+          if (held.size() == 20) {
+            // Replies in the reverse order of the calls.
+            for (int i = held.size() - 1; i >= 0; i--) {
+              held.get(i).run();
+            }
+          }
+          return result;
+        });
+    a.identify(new Incarnation("a", 7));
+    List<CompletableFuture<Body>> calls = new ArrayList<>();
+    for (int i = 0; i < 20; i++) {
+      calls.add(a.call(b.address(), request(i), PATIENCE_MILLIS));
+    }
+    for (int i = 0; i < 20; i++) {
+      Body r = calls.get(i).get(PATIENCE_MILLIS, TimeUnit.MILLISECONDS);
+      assertThat(r.getConfigReply().getRevision()).isEqualTo(i);
+    }
+    assertThat(senders).containsOnly(new Incarnation("a", 7));
+  }
+
+  // Guards against a refused connection that is reported as an unknown outcome.
+  @Example
+  void callToClosedPortFailsAsNotSent() throws Exception {
+    int port;
+    try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      port = s.getLocalPort();
+    }
+    CompletableFuture<Body> call = open("a").call("127.0.0.1:" + port, request(1), 5000);
+    assertThat(failure(call)).isInstanceOf(ConnectException.class);
+  }
+
+  // Guards against a call that waits for a handshake and is then reported as maybe sent.
+  @Example
+  void callThatIsNeverWrittenFailsAsNotSentWhenItsTimeIsUp() throws Exception {
+    ServerSocket silent = listen();
+    var call = open("a").call("127.0.0.1:" + silent.getLocalPort(), request(1), 100);
+    assertThat(failure(call)).isInstanceOf(ConnectException.class);
+  }
+
+  // Guards against a call that never ends and against a timeout reported as not sent.
+  @Example
+  void callWithoutReplyTimesOut() throws Exception {
+    NettyPeerTransport b = open("b");
+    b.handle(Body.KindCase.CONFIG_REQUEST, (sender, body) -> new CompletableFuture<>());
+    var call = open("a").call(b.address(), request(1), 300);
+    assertThat(failure(call)).isInstanceOf(TimeoutException.class);
+  }
+
+  // Guards against reporting "not sent" for a message that the peer may have acted on.
+  @Example
+  void callOnBrokenConnectionFailsAsMaybeSent() throws Exception {
+    ServerSocket s = listen();
+    var call = open("a").call("127.0.0.1:" + s.getLocalPort(), request(1), PATIENCE_MILLIS);
+    RawPeer raw = new RawPeer(s.accept()).accept();
+    assertThat(raw.receive().hasConfigRequest()).isTrue();
+    raw.close();
+    assertThat(failure(call))
+        .isInstanceOf(IOException.class)
+        .isNotInstanceOf(ConnectException.class);
+  }
+
+  // Guards against an unbounded send buffer towards a peer that does not read.
+  @Example
+  void fullSendBufferRefusesCallsAsNotSentAndDropsMessages() throws Exception {
+    RefusalCounter counter = new RefusalCounter();
+    NettyPeerTransport a = open("a", 0, counter);
+    ServerSocket s = listen();
+    String address = "127.0.0.1:" + s.getLocalPort();
+    final var first = a.call(address, request(1), PATIENCE_MILLIS);
+    RawPeer raw = new RawPeer(s.accept()).accept();
+    raw.receive();
+    var chunk = AnswerChunk.newBuilder().addTokens("x".repeat(1 << 20));
+    Body large = Body.newBuilder().setAnswerChunk(chunk).build();
+    List<CompletableFuture<Body>> calls = new ArrayList<>();
+    for (int i = 0; i < 40; i++) {
+      calls.add(a.call(address, large, PATIENCE_MILLIS));
+    }
+    assertThat(failure(calls.get(39))).isInstanceOf(ConnectException.class);
+    a.send(address, large);
+    raw.close();
+    assertThat(failure(first)).isNotInstanceOf(ConnectException.class);
+    assertThat(failure(calls.get(0))).isNotInstanceOf(ConnectException.class);
+    assertThat(counter.dropped.get()).isEqualTo(1);
+  }
+
+  // Guards against a handler failure that looks like success or like a lost message.
+  @Example
+  void failedAndMissingHandlersAreReported() throws Exception {
+    NettyPeerTransport a = open("a");
+    NettyPeerTransport b = open("b");
+    assertThat(failure(a.call(b.address(), request(1), PATIENCE_MILLIS)))
+        .isInstanceOfSatisfying(
+            RemoteFailure.class, f -> assertThat(f.kind()).isEqualTo("no_handler"));
+    b.handle(
+        Body.KindCase.CONFIG_REQUEST,
+        (sender, body) -> {
+          throw new IllegalStateException("not now");
+        });
+    assertThat(failure(a.call(b.address(), request(1), PATIENCE_MILLIS)))
+        .isInstanceOf(RemoteFailure.class)
+        .hasMessageContaining("not now");
+  }
+
+  // Guards against a peer that stays unreachable after its restart.
+  @Example
+  void connectsAgainAfterThePeerRestarts() throws Exception {
+    NettyPeerTransport a = open("a");
+    NettyPeerTransport b = open("b");
+    String address = b.address();
+    b.handle(Body.KindCase.CONFIG_REQUEST, (s, m) -> CompletableFuture.completedFuture(reply(1)));
+    a.call(address, request(0), PATIENCE_MILLIS).get();
+    b.close();
+    failure(a.call(address, request(0), PATIENCE_MILLIS));
+    int port = Integer.parseInt(address.substring(address.indexOf(':') + 1));
+    NettyPeerTransport again = open("b", port, TransportListener.NONE);
+    again.handle(
+        Body.KindCase.CONFIG_REQUEST, (s, m) -> CompletableFuture.completedFuture(reply(2)));
+    for (int i = 0; i < 200; i++) {
+      try {
+        Body r = a.call(address, request(0), PATIENCE_MILLIS).get();
+        assertThat(r.getConfigReply().getRevision()).isEqualTo(2);
+        return;
+      } catch (ExecutionException e) {
+        Thread.sleep(50);
+      }
+    }
+    throw new AssertionError("no connection after the restart");
+  }
+
+  // Guards against silent truncation of a message over the frame limit.
+  @Example
+  void tooLongMessageIsNotSent() throws Exception {
+    var chunk = ConfigReply.newBuilder().setView(ByteString.copyFrom(new byte[5 << 20]));
+    var call = open("a").call("127.0.0.1:1", Body.newBuilder().setConfigReply(chunk).build(), 1000);
+    assertThat(failure(call)).isInstanceOf(ConnectException.class);
+  }
+
+  // Guards against a key that is short enough to be guessed.
+  @Example
+  void shortKeyIsRefused() {
+    assertThatThrownBy(() -> new PeerSettings("a", "127.0.0.1", 0, "c", new byte[15]))
+        .isInstanceOf(IllegalArgumentException.class);
+  }
+}
