--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/Budgets.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/Budgets.java
@@ -10,11 +10,11 @@
    * Sets tokens aside, asking the control group or other routers for more if needed. Fails with
    * {@code RequestFailure(BUDGET_EXHAUSTED)}.
    */
-  CompletionStage<Reservation> reserve(String workspace, long tokens);
+  CompletionStage<ReservedTokens> reserve(String workspace, long tokens);
 
   /** Settles a reservation with the request's billing record; the rest of it becomes free. */
-  void settle(Reservation reservation, BillingRecord record);
+  void settle(ReservedTokens reservation, BillingRecord record);
 
   /** Frees a reservation whose request used nothing. */
-  void release(Reservation reservation);
+  void release(ReservedTokens reservation);
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/RequestContext.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/RequestContext.java
@@ -1,8 +1,10 @@
 package org.goldcrestfall.daemon.filter;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.goldcrestfall.core.control.ConfigView;
-import org.goldcrestfall.daemon.budget.Reservation;
+import org.goldcrestfall.daemon.budget.ReservedTokens;
 import org.goldcrestfall.daemon.http.CallerConnection;
 import org.goldcrestfall.daemon.upstream.ChatCall;
 
@@ -26,7 +28,9 @@
   private String bodyHash;
   private ConfigView.PatienceClass patience;
   private long deadlineMillis;
-  private Reservation reservation;
+  private ReservedTokens reservation;
+  private final List<Runnable> endActions = new ArrayList<>();
+  private boolean ended;
 
   /** Creates the context of a request that arrived at {@code arrivedMillis}. */
   public RequestContext(HttpRequest http, CallerConnection connection, long arrivedMillis) {
@@ -35,6 +39,28 @@
     this.arrivedMillis = arrivedMillis;
   }
 
+  /** Runs {@code action} once, when the request ends in any way. */
+  public synchronized void onEnd(Runnable action) {
+    if (ended) {
+      action.run();
+    } else {
+      endActions.add(action);
+    }
+  }
+
+  /** Marks the end of the request: answered whole, failed or cancelled. Later calls do nothing. */
+  public void end() {
+    List<Runnable> actions;
+    synchronized (this) {
+      if (ended) {
+        return;
+      }
+      ended = true;
+      actions = List.copyOf(endActions);
+    }
+    actions.forEach(Runnable::run);
+  }
+
   /** Returns the HTTP request. */
   public HttpRequest http() {
     return http;
@@ -78,7 +104,7 @@
     deadlineMillis = deadline;
   }
 
-  void reserved(Reservation r) {
+  void reserved(ReservedTokens r) {
     reservation = r;
   }
 
@@ -143,7 +169,7 @@
   }
 
   /** Returns the reserved tokens. */
-  public Reservation reservation() {
+  public ReservedTokens reservation() {
     return reservation;
   }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/SseDecoder.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/SseDecoder.java
@@ -80,6 +80,7 @@
   private static final class EventReader {
 
     private final JsonParser parser;
+    private String requestId;
     private long offset = -1;
     private String text;
     private String finishReason;
@@ -96,7 +97,7 @@
       }
       readObject();
       return new TokenEvent(
-          text == null ? -1 : offset, text, finishReason, promptTokens, outputTokens);
+          requestId, text == null ? -1 : offset, text, finishReason, promptTokens, outputTokens);
     }
 
     private void readObject() throws IOException {
@@ -104,6 +105,8 @@
         String name = parser.currentName();
         JsonToken t = parser.nextToken();
         switch (name) {
+          case "request_id" ->
+              requestId = t == JsonToken.VALUE_STRING ? parser.getText() : null;
           case "offset" -> offset = t.isNumeric() ? parser.getLongValue() : -1;
           case "content" -> text = t == JsonToken.VALUE_STRING ? parser.getText() : null;
           case "finish_reason" ->
--- a/daemon/src/test/java/org/goldcrestfall/daemon/upstream/SseDecoderTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/upstream/SseDecoderTest.java
@@ -16,7 +16,7 @@
 final class SseDecoderTest {
 
   private static final String STREAM =
-      "data: {\"id\":\"x\",\"offset\":0,\"choices\":[{\"index\":0,\"delta\":{\"content\":\"é\"},"
+      "data: {\"request_id\":\"r\",\"offset\":0,\"choices\":[{\"index\":0,\"delta\":{\"content\":\"é\"},"
           + "\"finish_reason\":null}],\"usage\":null}\n\n"
           + ": comment\n\n"
           + "data: {\"offset\":1,\"choices\":[{\"delta\":{\"content\":\"b\\n\"},"
@@ -35,9 +35,9 @@
     }
     assertThat(out)
         .containsExactly(
-            new TokenEvent(0, "é", null, -1, -1),
-            new TokenEvent(1, "b\n", "stop", -1, -1),
-            new TokenEvent(-1, null, null, 3, 2));
+            new TokenEvent("r", 0, "é", null, -1, -1),
+            new TokenEvent(null, 1, "b\n", "stop", -1, -1),
+            new TokenEvent(null, -1, null, null, 3, 2));
     assertThat(d.isDone()).isTrue();
   }
 
