Add the decision code of the request path

Routing, admission, retries, outlier ejection, stream assembly, kept answers, record holders and fleet-wide limits as pure state machines in core, each with a first set of properties.

--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/admission/ClassQueue.java
@@ -0,0 +1,36 @@
+package org.goldcrestfall.core.admission;
+
+import java.util.Comparator;
+import java.util.TreeSet;
+
+/** The waiting and running requests of one patience class. */
+final class ClassQueue {
+
+  /** Time constant of the average of offered work. */
+  private static final double DEMAND_MILLIS = 20_000;
+
+  private static final Comparator<QueuedRequest> BY_DEADLINE =
+      Comparator.comparingLong(QueuedRequest::latestStartMillis).thenComparing(QueuedRequest::id);
+
+  final String name;
+  final TreeSet<QueuedRequest> waiting = new TreeSet<>(BY_DEADLINE);
+  int running;
+  int priority;
+  private double demand;
+  private long demandAtMillis;
+
+  ClassQueue(String name) {
+    this.name = name;
+  }
+
+  void onOffer(QueuedRequest request, long nowMillis) {
+    priority = request.priority();
+    demand = demand(nowMillis) + request.holdMillis() / DEMAND_MILLIS;
+    demandAtMillis = nowMillis;
+  }
+
+  /** Returns the mean number of slots that the recent offers of the class occupy. */
+  double demand(long nowMillis) {
+    return demand * Math.exp((demandAtMillis - nowMillis) / DEMAND_MILLIS);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/admission/SlotRule.java
@@ -0,0 +1,76 @@
+package org.goldcrestfall.core.admission;
+
+import java.util.Collection;
+
+/**
+ * Decides which class receives the next free slot. A class below its reserved share comes first;
+ * spare capacity goes to the earliest deadline. A class may not borrow the slots that a class of
+ * higher priority has reserved and, by its recent demand, is about to use, because a slot that a
+ * long patient request holds is not available to a quick one for many seconds.
+ */
+final class SlotRule {
+
+  private final Shares shares;
+  private final double slots;
+
+  SlotRule(Shares shares, double slots) {
+    this.shares = shares;
+    this.slots = Math.max(1, slots);
+  }
+
+  /** A class as the rule sees it: its earliest deadline, running requests and expected demand. */
+  interface View {
+    String name();
+
+    int priority();
+
+    int running();
+
+    double demand();
+
+    /** Returns the first waiting request, or null. */
+    QueuedRequest first();
+  }
+
+  /** Returns the view that receives the next slot, or null if none may start. */
+  <V extends View> V next(Collection<V> views) {
+    int total = 0;
+    for (V v : views) {
+      total += v.running();
+    }
+    if (total + 1 > slots) {
+      return null;
+    }
+    V best = null;
+    boolean bestReserved = false;
+    for (V v : views) {
+      if (v.first() == null) {
+        continue;
+      }
+      boolean reserved = v.running() < shares.reserved(v.name(), slots);
+      if (!reserved && total > 0 && total + 1 > slots - heldBack(views, v)) {
+        continue;
+      }
+      if (best == null
+          || (reserved && !bestReserved)
+          || (reserved == bestReserved
+              && v.first().latestStartMillis() < best.first().latestStartMillis())) {
+        best = v;
+        bestReserved = reserved;
+      }
+    }
+    return best;
+  }
+
+  private <V extends View> double heldBack(Collection<V> views, V borrower) {
+    double sum = 0;
+    for (V v : views) {
+      if (v.priority() > borrower.priority()) {
+        double expected = v.demand() + Math.sqrt(v.demand());
+        double reserved = Math.min(shares.reserved(v.name(), slots), expected);
+        sum += Math.max(0, reserved - v.running());
+      }
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/routing/AffinityPolicy.java
@@ -0,0 +1,34 @@
+package org.goldcrestfall.core.routing;
+
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/** Baseline: picks the candidate with the most cached blocks, and a random one if there is none. */
+public final class AffinityPolicy implements RoutingPolicy {
+
+  @Override
+  public Candidate pick(
+      RoutingRequest request,
+      List<Candidate> eligible,
+      ScoreContext context,
+      UniformRandomProvider random) {
+    Candidate warm = warmest(request, eligible, context);
+    return warm != null ? warm : eligible.get(random.nextInt(eligible.size()));
+  }
+
+  /** Returns the candidate with the most cached blocks, or null if no block is cached. */
+  static Candidate warmest(
+      RoutingRequest request, List<Candidate> candidates, ScoreContext context) {
+    Candidate best = null;
+    double most = 0;
+    for (Candidate c : candidates) {
+      double blocks =
+          context.prefixes().cachedBlocks(c.name(), request.prefix(), context.nowMillis());
+      if (blocks > most) {
+        best = c;
+        most = blocks;
+      }
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/routing/LoadTracker.java
@@ -0,0 +1,99 @@
+package org.goldcrestfall.core.routing;
+
+import java.util.ArrayDeque;
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Corrects late load reports by this router's own sends and completions since the report was
+ * measured, and learns how long a request holds a slot. Not thread-safe.
+ */
+public final class LoadTracker {
+
+  /** Bounds the memory for an upstream that stops reporting; the oldest corrections are lost. */
+  private static final int MAX_EVENTS = 4096;
+
+  /** Weight of the newest observation in the moving average of slot times. */
+  private static final double AVERAGE_WEIGHT = 0.05;
+
+  private record Event(long atMillis, int delta) {}
+
+  private static final class Upstream {
+    final ArrayDeque<Event> events = new ArrayDeque<>();
+    int own;
+    double holdMillis = -1;
+  }
+
+  private final Map<String, Upstream> upstreams = new HashMap<>();
+
+  /** Records that this router sent a request. */
+  public void onSend(String upstream, long nowMillis) {
+    Upstream u = upstreams.computeIfAbsent(upstream, n -> new Upstream());
+    u.own++;
+    add(u, new Event(nowMillis, 1));
+  }
+
+  /**
+   * Records that a request of this router ended, for any reason.
+   *
+   * @param holdMillis time from the first token to the end; negative if there was no first token
+   */
+  public void onCompletion(String upstream, long holdMillis, long nowMillis) {
+    Upstream u = upstreams.get(upstream);
+    if (u == null || u.own == 0) {
+      return;
+    }
+    u.own--;
+    add(u, new Event(nowMillis, -1));
+    if (holdMillis >= 0) {
+      u.holdMillis =
+          u.holdMillis < 0
+              ? holdMillis
+              : u.holdMillis + AVERAGE_WEIGHT * (holdMillis - u.holdMillis);
+    }
+  }
+
+  /** Returns the estimated number of requests at the upstream, running and waiting. */
+  public double outstanding(Candidate candidate, long nowMillis) {
+    int reported = candidate.running() + candidate.waiting();
+    Upstream u = upstreams.get(candidate.name());
+    if (u == null) {
+      return reported;
+    }
+    long measured = nowMillis - candidate.loadAgeMillis();
+    while (!u.events.isEmpty() && u.events.peekFirst().atMillis <= measured) {
+      u.events.removeFirst();
+    }
+    int n = reported;
+    for (Event e : u.events) {
+      n += e.delta;
+    }
+    return Math.max(n, u.own);
+  }
+
+  /** Returns the number of requests that this router has at the upstream. */
+  public int own(String upstream) {
+    Upstream u = upstreams.get(upstream);
+    return u == null ? 0 : u.own;
+  }
+
+  /** Returns the average slot time at the upstream, or {@code unknown} before the first one. */
+  public double holdMillis(String upstream, double unknown) {
+    Upstream u = upstreams.get(upstream);
+    return u == null || u.holdMillis < 0 ? unknown : u.holdMillis;
+  }
+
+  /** Forgets an upstream that has no request of this router left. */
+  public void remove(String upstream) {
+    if (own(upstream) == 0) {
+      upstreams.remove(upstream);
+    }
+  }
+
+  private static void add(Upstream upstream, Event event) {
+    if (upstream.events.size() == MAX_EVENTS) {
+      upstream.events.removeFirst();
+    }
+    upstream.events.addLast(event);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/routing/PrefixIndex.java
@@ -0,0 +1,135 @@
+package org.goldcrestfall.core.routing;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * What the engines probably hold in their prefix caches. Knowledge comes from cache events, which
+ * are late and have gaps, and from this router's own sends. Confidence decays with time and with
+ * each lost event. Each engine has a bounded number of entries; the least recently used one is
+ * dropped. Not thread-safe.
+ */
+public final class PrefixIndex {
+
+  /** Share of the confidence that remains after one lost event, which may be an eviction. */
+  private static final double KEPT_PER_LOST_EVENT = 0.98;
+
+  private static final class Entry {
+    double confidence;
+    long atMillis;
+    double keptAtInsert;
+  }
+
+  private final class Engine extends LinkedHashMap<Long, Entry> {
+    long sequence = -1;
+    double kept = 1;
+
+    Engine() {
+      super(16, 0.75f, true);
+    }
+
+    @Override
+    protected boolean removeEldestEntry(Map.Entry<Long, Entry> eldest) {
+      return size() > maxBlocksPerEngine;
+    }
+  }
+
+  private final int maxBlocksPerEngine;
+  private final long halfLifeMillis;
+  private final Map<String, Engine> engines = new HashMap<>();
+
+  /**
+   * Creates an empty index.
+   *
+   * @param maxBlocksPerEngine bound on the entries of one engine
+   * @param halfLifeMillis time after which an unconfirmed entry has half its confidence
+   */
+  public PrefixIndex(int maxBlocksPerEngine, long halfLifeMillis) {
+    checkArgument(maxBlocksPerEngine > 0, "maxBlocksPerEngine must be positive");
+    checkArgument(halfLifeMillis > 0, "halfLifeMillis must be positive");
+    this.maxBlocksPerEngine = maxBlocksPerEngine;
+    this.halfLifeMillis = halfLifeMillis;
+  }
+
+  /**
+   * Applies a cache event. An event at or below the last sequence number is a duplicate or came out
+   * of order and is ignored; it was counted as lost when the gap was seen.
+   */
+  public void onEvent(String engine, CacheEvent event, long nowMillis) {
+    Engine e = engines.computeIfAbsent(engine, n -> new Engine());
+    if (event.sequence() <= e.sequence) {
+      return;
+    }
+    if (e.sequence >= 0) {
+      long lost = event.sequence() - e.sequence - 1;
+      e.kept *= Math.pow(KEPT_PER_LOST_EVENT, lost);
+      if (e.kept < 1e-9) {
+        e.clear();
+        e.kept = 1;
+      }
+    }
+    e.sequence = event.sequence();
+    if (event.stored()) {
+      store(e, event.prefix(), 1, nowMillis);
+    } else {
+      e.remove(event.prefix());
+    }
+  }
+
+  /** Records that this router sent a prompt, which the engine is expected to cache. */
+  public void onSend(String engine, List<Long> prefix, long nowMillis) {
+    Engine e = engines.computeIfAbsent(engine, n -> new Engine());
+    for (Long hash : prefix) {
+      store(e, hash, 0.9, nowMillis);
+    }
+  }
+
+  /** Forgets an engine that left or restarted with an empty cache. */
+  public void remove(String engine) {
+    engines.remove(engine);
+  }
+
+  /**
+   * Returns the expected number of blocks of {@code prefix} that the engine has cached. A block
+   * counts only if all blocks before it are cached too.
+   */
+  public double cachedBlocks(String engine, List<Long> prefix, long nowMillis) {
+    Engine e = engines.get(engine);
+    if (e == null) {
+      return 0;
+    }
+    double blocks = 0;
+    double confidence = 1;
+    for (Long hash : prefix) {
+      Entry entry = e.get(hash);
+      if (entry == null) {
+        return blocks;
+      }
+      confidence = Math.min(confidence, confidence(e, entry, nowMillis));
+      blocks += confidence;
+    }
+    return blocks;
+  }
+
+  /** Returns the number of entries of all engines. */
+  public int size() {
+    return engines.values().stream().mapToInt(Map::size).sum();
+  }
+
+  private double confidence(Engine engine, Entry entry, long nowMillis) {
+    double age = Math.max(0, nowMillis - entry.atMillis);
+    double gaps = Math.min(1, engine.kept / entry.keptAtInsert);
+    return entry.confidence * gaps * Math.pow(0.5, age / halfLifeMillis);
+  }
+
+  private void store(Engine engine, long hash, double confidence, long nowMillis) {
+    Entry entry = engine.computeIfAbsent(hash, h -> new Entry());
+    entry.confidence = confidence;
+    entry.atMillis = nowMillis;
+    entry.keptAtInsert = engine.kept;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/routing/Router.java
@@ -0,0 +1,99 @@
+package org.goldcrestfall.core.routing;
+
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.goldcrestfall.core.common.RendezvousHash;
+
+/**
+ * Picks an upstream for a request: eligible upstreams, a stable subset of them by rendezvous hash,
+ * then a {@link RoutingPolicy}. Sends, completions and cache events feed the knowledge that the
+ * policy reads. Not thread-safe.
+ */
+public final class Router {
+
+  private final String host;
+  private final String zone;
+  private final RouterSettings settings;
+  private final RoutingPolicy policy;
+  private final UniformRandomProvider random;
+  private final LoadTracker load = new LoadTracker();
+  private final PrefixIndex prefixes;
+
+  /** Creates a router with all score factors. */
+  public Router(String host, String zone, RouterSettings settings, long seed) {
+    this(host, zone, settings, settings.policy(EnumSet.allOf(RouterSettings.Factor.class)), seed);
+  }
+
+  /**
+   * Creates a router.
+   *
+   * @param host name of this host, which selects the stable subset
+   * @param zone availability zone of this host
+   * @param policy how to pick within the subset
+   * @param seed seed of the random choices
+   */
+  public Router(
+      String host, String zone, RouterSettings settings, RoutingPolicy policy, long seed) {
+    this.host = host;
+    this.zone = zone;
+    this.settings = settings;
+    this.policy = policy;
+    random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    prefixes = new PrefixIndex(settings.maxBlocksPerEngine(), settings.cacheHalfLifeMillis());
+  }
+
+  /**
+   * Returns the upstream to send to, or empty if no candidate may be used. A leaving candidate, an
+   * excluded one and one without the model are never returned.
+   */
+  public Optional<Candidate> choose(
+      RoutingRequest request, List<Candidate> candidates, long nowMillis) {
+    List<Candidate> eligible =
+        candidates.stream()
+            .filter(c -> !c.leaving())
+            .filter(c -> !request.excluded().contains(c.name()))
+            .filter(c -> c.serves(request.model()))
+            .toList();
+    if (eligible.isEmpty()) {
+      return Optional.empty();
+    }
+    List<Candidate> subset =
+        RendezvousHash.subset(host, eligible, Candidate::name, settings.subsetSize());
+    ScoreContext context = ScoreContext.of(zone, load, prefixes, subset, nowMillis);
+    return Optional.of(policy.pick(request, subset, context, random));
+  }
+
+  /** Records that the request was sent to {@code upstream}. */
+  public void onSend(String upstream, RoutingRequest request, long nowMillis) {
+    load.onSend(upstream, nowMillis);
+    prefixes.onSend(upstream, request.prefix(), nowMillis);
+  }
+
+  /**
+   * Records the end of a request that was passed to {@link #onSend}, for any reason.
+   *
+   * @param holdMillis time from the first token to the end; negative if there was no first token
+   */
+  public void onCompletion(String upstream, long holdMillis, long nowMillis) {
+    load.onCompletion(upstream, holdMillis, nowMillis);
+  }
+
+  /** Applies a cache event of an engine. */
+  public void onCacheEvent(String engine, CacheEvent event, long nowMillis) {
+    prefixes.onEvent(engine, event, nowMillis);
+  }
+
+  /** Forgets what is known about an upstream that expired or restarted. */
+  public void remove(String upstream) {
+    prefixes.remove(upstream);
+    load.remove(upstream);
+  }
+
+  /** Returns the corrected load, which admission reads too. */
+  public LoadTracker load() {
+    return load;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/routing/RouterSettings.java
@@ -0,0 +1,70 @@
+package org.goldcrestfall.core.routing;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+
+/**
+ * Constants of the routing decision.
+ *
+ * @param subsetSize upstreams that one router uses
+ * @param choices random candidates that are compared
+ * @param defaultHoldMillis slot time that is assumed before the first completion
+ * @param contentionMillis delay of the first token by a full batch
+ * @param prefillMillisPerToken prefill time of one prompt token
+ * @param maxLoadRatio bound on the utilization, as a multiple of the mean, up to which cached
+ *     blocks attract
+ * @param otherZoneMillis round trip to another availability zone
+ * @param modelLoadMillis time to load a model
+ * @param maxBlocksPerEngine bound on the known cache entries of one engine
+ * @param cacheHalfLifeMillis time after which an unconfirmed cache entry has half its confidence
+ */
+public record RouterSettings(
+    int subsetSize,
+    int choices,
+    double defaultHoldMillis,
+    double contentionMillis,
+    double prefillMillisPerToken,
+    double maxLoadRatio,
+    double otherZoneMillis,
+    double modelLoadMillis,
+    int maxBlocksPerEngine,
+    long cacheHalfLifeMillis) {
+
+  /** The factors of the score, each of which can be turned off. */
+  public enum Factor {
+    ESTIMATED_WAIT,
+    SAVED_PREFILL,
+    ZONE_DISTANCE,
+    MODEL_LOAD
+  }
+
+  /** Settings for engines of about 5,000 prompt tokens a second. */
+  public static final RouterSettings DEFAULTS =
+      new RouterSettings(20, 2, 2_000, 100, 0.2, 1.25, 1, 20_000, 8_192, 60_000);
+
+  /** Checks the arguments. */
+  public RouterSettings {
+    checkArgument(subsetSize > 0, "subsetSize must be positive: %s", subsetSize);
+    checkArgument(choices > 0, "choices must be positive: %s", choices);
+  }
+
+  /** Returns the scored policy with the factors in {@code factors}. */
+  public RoutingPolicy policy(Set<Factor> factors) {
+    List<ScoreFactor> list = new ArrayList<>();
+    for (Factor f : Factor.values()) {
+      if (factors.contains(f)) {
+        list.add(
+            switch (f) {
+              case ESTIMATED_WAIT -> new EstimatedWaitFactor(defaultHoldMillis, contentionMillis);
+              case SAVED_PREFILL -> new SavedPrefillFactor(prefillMillisPerToken, maxLoadRatio);
+              case ZONE_DISTANCE -> new ZoneDistanceFactor(otherZoneMillis);
+              case MODEL_LOAD -> new ModelLoadFactor(modelLoadMillis);
+            });
+      }
+    }
+    return new ScoredPolicy(list, choices);
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/routing/ScoredPolicy.java
@@ -0,0 +1,54 @@
+package org.goldcrestfall.core.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+
+/**
+ * Compares the scores of a few random candidates and of the candidate with the most cached blocks.
+ * Comparing all candidates would make routers that hold the same late reports choose the same one.
+ */
+public final class ScoredPolicy implements RoutingPolicy {
+
+  private final List<ScoreFactor> factors;
+  private final int choices;
+
+  /** Creates a policy that compares {@code choices} random candidates by the sum of factors. */
+  public ScoredPolicy(List<ScoreFactor> factors, int choices) {
+    this.factors = List.copyOf(factors);
+    this.choices = choices;
+  }
+
+  /** Returns the score of a candidate in milliseconds; the lowest is best. */
+  public double scoreMillis(RoutingRequest request, Candidate candidate, ScoreContext context) {
+    double sum = 0;
+    for (ScoreFactor f : factors) {
+      sum += f.scoreMillis(request, candidate, context);
+    }
+    return sum;
+  }
+
+  @Override
+  public Candidate pick(
+      RoutingRequest request,
+      List<Candidate> eligible,
+      ScoreContext context,
+      UniformRandomProvider random) {
+    List<Candidate> rest = new ArrayList<>(eligible);
+    Candidate best = null;
+    double bestScore = Double.POSITIVE_INFINITY;
+    for (int i = 0; i < choices && !rest.isEmpty(); i++) {
+      Candidate c = rest.remove(random.nextInt(rest.size()));
+      double score = scoreMillis(request, c, context);
+      if (score < bestScore) {
+        best = c;
+        bestScore = score;
+      }
+    }
+    Candidate warm = AffinityPolicy.warmest(request, rest, context);
+    if (warm != null && scoreMillis(request, warm, context) < bestScore) {
+      return warm;
+    }
+    return best;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/stream/AnswerStore.java
@@ -0,0 +1,191 @@
+package org.goldcrestfall.core.stream;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.ArrayList;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Running and finished answers by workspace and request id, so that a retry joins or replays them
+ * instead of running the request again. Bounded in count, bytes and age: the oldest finished
+ * answers are dropped first; if running ones alone exceed the bytes, the text of the largest is no
+ * longer kept. Not thread-safe.
+ */
+public final class AnswerStore {
+
+  /** Overhead of one token and of one answer beyond the characters, as a rough bound. */
+  private static final int TOKEN_BYTES = 48;
+
+  private static final int ANSWER_BYTES = 256;
+
+  private static final class Answer {
+    final String bodyHash;
+    final List<String> tokens = new ArrayList<>();
+    AnswerState state = AnswerState.RUNNING;
+    long bytes = ANSWER_BYTES;
+    long finishedAtMillis;
+
+    Answer(String bodyHash) {
+      this.bodyHash = bodyHash;
+    }
+  }
+
+  private final int maxAnswers;
+  private final long maxBytes;
+  private final long maxAgeMillis;
+  private final Map<AnswerKey, Answer> running = new LinkedHashMap<>();
+  private final Map<AnswerKey, Answer> finished = new LinkedHashMap<>();
+  private long bytes;
+
+  /**
+   * Creates an empty store.
+   *
+   * @param maxAnswers bound on running and finished answers together
+   * @param maxBytes bound on the estimated memory of all answers
+   * @param maxAgeMillis time that a finished answer is kept
+   */
+  public AnswerStore(int maxAnswers, long maxBytes, long maxAgeMillis) {
+    checkArgument(maxAnswers > 0, "maxAnswers must be positive: %s", maxAnswers);
+    checkArgument(maxBytes >= ANSWER_BYTES, "maxBytes is too small: %s", maxBytes);
+    this.maxAnswers = maxAnswers;
+    this.maxBytes = maxBytes;
+    this.maxAgeMillis = maxAgeMillis;
+  }
+
+  /** Looks a request up, and registers it as running if it is unknown. */
+  public AnswerLookup begin(AnswerKey key, String bodyHash, long nowMillis) {
+    expire(nowMillis);
+    Answer a = find(key);
+    if (a != null) {
+      if (!a.bodyHash.equals(bodyHash)) {
+        return AnswerLookup.REUSED;
+      }
+      return switch (a.state) {
+        case RUNNING -> AnswerLookup.JOIN;
+        case FINISHED -> AnswerLookup.REPLAY;
+        case RUNNING_NOT_KEPT -> AnswerLookup.BUSY;
+      };
+    }
+    if (!makeRoom(1, ANSWER_BYTES)) {
+      return AnswerLookup.FULL;
+    }
+    running.put(key, new Answer(bodyHash));
+    bytes += ANSWER_BYTES;
+    return AnswerLookup.STARTED;
+  }
+
+  /** Adds the next token of a running answer; an unknown answer is ignored. */
+  public void append(AnswerKey key, String token) {
+    Answer a = running.get(key);
+    if (a == null || a.state == AnswerState.RUNNING_NOT_KEPT) {
+      return;
+    }
+    long more = TOKEN_BYTES + 2L * token.length();
+    while (a.state == AnswerState.RUNNING && !makeRoom(0, more)) {
+      stopKeepingLargest();
+    }
+    if (a.state == AnswerState.RUNNING) {
+      a.tokens.add(token);
+      a.bytes += more;
+      bytes += more;
+    }
+  }
+
+  /** Marks a running answer as whole. One whose text is not kept is dropped. */
+  public void finish(AnswerKey key, long nowMillis) {
+    Answer a = running.remove(key);
+    if (a == null) {
+      return;
+    }
+    if (a.state == AnswerState.RUNNING_NOT_KEPT) {
+      bytes -= a.bytes;
+      return;
+    }
+    a.state = AnswerState.FINISHED;
+    a.finishedAtMillis = nowMillis;
+    finished.put(key, a);
+    expire(nowMillis);
+  }
+
+  /** Drops a running answer that failed, so that a retry runs it again. */
+  public void abandon(AnswerKey key) {
+    Answer a = running.remove(key);
+    if (a != null) {
+      bytes -= a.bytes;
+    }
+  }
+
+  /** Returns the tokens from {@code offset} on, or empty if the text is not known. */
+  public Optional<List<String>> read(AnswerKey key, int offset) {
+    checkArgument(offset >= 0, "offset must not be negative: %s", offset);
+    Answer a = find(key);
+    if (a == null || a.state == AnswerState.RUNNING_NOT_KEPT) {
+      return Optional.empty();
+    }
+    int from = Math.min(offset, a.tokens.size());
+    return Optional.of(List.copyOf(a.tokens.subList(from, a.tokens.size())));
+  }
+
+  /** Returns the state of an answer, or empty if it is unknown. */
+  public Optional<AnswerState> state(AnswerKey key) {
+    return Optional.ofNullable(find(key)).map(a -> a.state);
+  }
+
+  /** Drops finished answers that are too old. */
+  public void expire(long nowMillis) {
+    Iterator<Answer> it = finished.values().iterator();
+    while (it.hasNext()) {
+      Answer a = it.next();
+      // Finished answers are in order of their end, so the scan stops at the first young one.
+      if (nowMillis - a.finishedAtMillis < maxAgeMillis) {
+        return;
+      }
+      bytes -= a.bytes;
+      it.remove();
+    }
+  }
+
+  /** Returns the number of answers. */
+  public int size() {
+    return running.size() + finished.size();
+  }
+
+  /** Returns the estimated memory of all answers. */
+  public long bytes() {
+    return bytes;
+  }
+
+  private Answer find(AnswerKey key) {
+    Answer a = running.get(key);
+    return a != null ? a : finished.get(key);
+  }
+
+  private boolean makeRoom(int answers, long moreBytes) {
+    Iterator<Answer> it = finished.values().iterator();
+    while (size() + answers > maxAnswers || bytes + moreBytes > maxBytes) {
+      if (!it.hasNext()) {
+        return false;
+      }
+      bytes -= it.next().bytes;
+      it.remove();
+    }
+    return true;
+  }
+
+  private void stopKeepingLargest() {
+    Answer largest = null;
+    for (Answer a : running.values()) {
+      if (a.state == AnswerState.RUNNING && (largest == null || a.bytes > largest.bytes)) {
+        largest = a;
+      }
+    }
+    largest.state = AnswerState.RUNNING_NOT_KEPT;
+    largest.tokens.clear();
+    bytes -= largest.bytes - ANSWER_BYTES;
+    largest.bytes = ANSWER_BYTES;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/stream/StreamAssembler.java
@@ -0,0 +1,109 @@
+package org.goldcrestfall.core.stream;
+
+import static com.google.common.base.Preconditions.checkState;
+
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/**
+ * Joins the tokens of one or several engine attempts to one whole answer in order. Each attempt
+ * either resumes from the last token passed on or restarts, in which case the known tokens are
+ * skipped. Duplicates, gaps, events of earlier attempts and events of other requests are rejected.
+ * Skipped tokens are compared by hash with those passed on, so that a restart that generates
+ * another text is noticed at the join. Not thread-safe.
+ */
+public final class StreamAssembler {
+
+  private final String requestId;
+  private int attempt;
+  private boolean active;
+  private boolean complete;
+  private long attemptNext;
+  private int next;
+  private int[] hashes = new int[64];
+
+  /** Creates an assembler that has passed on nothing. */
+  public StreamAssembler(String requestId) {
+    this.requestId = requestId;
+  }
+
+  /**
+   * Starts the next attempt; the events of all earlier ones are rejected from now on.
+   *
+   * @param resumes whether the engine supports {@code resume_from}
+   */
+  public AttemptStart startAttempt(boolean resumes) {
+    checkState(!complete, "the answer to %s is already whole", requestId);
+    attempt++;
+    active = true;
+    attemptNext = resumes ? next : 0;
+    return new AttemptStart(attempt, attemptNext);
+  }
+
+  /** Applies an event and returns what became of it. */
+  public StreamResult onEvent(StreamEvent event) {
+    if (!active || event.attempt() != attempt) {
+      return StreamResult.LATE;
+    }
+    if (!event.requestId().equals(requestId)) {
+      return fail(StreamResult.FOREIGN);
+    }
+    if (event instanceof StreamEvent.Token t) {
+      return onToken(t);
+    }
+    if (event instanceof StreamEvent.End e) {
+      // The length guards against a stream whose last tokens were lost.
+      if (e.tokens() != next || attemptNext != next) {
+        return fail(StreamResult.GAP);
+      }
+      active = false;
+      complete = true;
+      return StreamResult.COMPLETE;
+    }
+    return fail(StreamResult.BROKEN);
+  }
+
+  /** Returns the number of tokens passed on. */
+  public int passedOn() {
+    return next;
+  }
+
+  /** Returns whether the answer is whole. */
+  public boolean complete() {
+    return complete;
+  }
+
+  /** Returns the number of the current attempt; 0 before the first. */
+  public int attempt() {
+    return attempt;
+  }
+
+  private StreamResult onToken(StreamEvent.Token token) {
+    if (token.offset() > attemptNext) {
+      return fail(StreamResult.GAP);
+    }
+    if (token.offset() == attemptNext) {
+      attemptNext++;
+    }
+    int hash = hash(token.text());
+    if (token.offset() < next) {
+      boolean equal = hashes[(int) token.offset()] == hash;
+      return equal ? StreamResult.SKIPPED : fail(StreamResult.DIVERGED);
+    }
+    if (next == hashes.length) {
+      hashes = Arrays.copyOf(hashes, 2 * next);
+    }
+    hashes[next++] = hash;
+    return StreamResult.PASS;
+  }
+
+  private StreamResult fail(StreamResult result) {
+    active = false;
+    return result;
+  }
+
+  private static int hash(String text) {
+    return Hashing.murmur3_32_fixed().hashString(text, StandardCharsets.UTF_8).asInt();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/stream/package-info.java
@@ -0,0 +1,2 @@
+/** Assembly, storage and placement of streamed answers. */
+package org.goldcrestfall.core.stream;
--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/admission/AdmissionQueueTest.java
@@ -0,0 +1,164 @@
+package org.goldcrestfall.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Random;
+import java.util.Set;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.RunState;
+
+/** Guards patience: deadlines, reserved shares, bounds and the account of every request. */
+final class AdmissionQueueTest {
+
+  private static final Shares SHARES = new Shares(Map.of("quick", 400, "patient", 300));
+
+  private static QueuedRequest quick(String id, long deadline, long hold) {
+    return new QueuedRequest(id, "quick", 1_000, 10, deadline, 0, hold, 100);
+  }
+
+  private static QueuedRequest patient(String id, long deadline, long hold) {
+    return new QueuedRequest(id, "patient", 200, 1, deadline, 0, hold, 100);
+  }
+
+  /** Nothing is lost or answered twice, the bounds hold, and no deadline is missed by a poll. */
+  @Property(tries = 300, seed = "46")
+  void everyOfferEndsOnceWithinBounds(@ForAll long seed) {
+    Random random = new Random(seed);
+    AdmissionQueue queue = new AdmissionQueue(12, 1_500, SHARES);
+    Set<String> open = new HashSet<>();
+    List<String> running = new ArrayList<>();
+    long now = 0;
+    for (int i = 0; i < 300; i++) {
+      now += random.nextInt(100);
+      double slots = random.nextInt(6);
+      switch (random.nextInt(6)) {
+        case 0, 1 -> {
+          String id = "r" + i;
+          long hold = 1 + random.nextInt(800);
+          QueuedRequest request =
+              random.nextBoolean()
+                  ? quick(id, now + random.nextInt(900) - 50, hold)
+                  : patient(id, now + random.nextInt(5_000), hold);
+          open.add(id);
+          settle(queue.offer(request, slots, now), open);
+        }
+        case 2 -> {
+          long at = now;
+          queue
+              .poll(slots, now)
+              .ifPresent(
+                  r -> {
+                    assertThat(queue.running()).isLessThanOrEqualTo((int) Math.max(1, slots));
+                    assertThat(open.remove(r.id())).isTrue();
+                    running.add(r.id());
+                  });
+        }
+        case 3 -> {
+          if (!running.isEmpty()) {
+            queue.complete(running.remove(random.nextInt(running.size())));
+          }
+        }
+        case 4 -> {
+          String id = "r" + random.nextInt(i + 1);
+          assertThat(queue.cancel(id)).isEqualTo(open.remove(id));
+        }
+        default -> settle(queue.expire(slots, now), open);
+      }
+      assertThat(queue.size()).isEqualTo(open.size()).isLessThanOrEqualTo(12);
+      assertThat(queue.bytes()).isEqualTo(100L * open.size());
+    }
+  }
+
+  private static void settle(List<Refusal> refusals, Set<String> open) {
+    for (Refusal r : refusals) {
+      assertThat(open.remove(r.request().id())).isTrue();
+      assertThat(r.kind().run()).isEqualTo(RunState.NOT_RUN);
+    }
+  }
+
+  /**
+   * With exact estimates every request that stays admitted starts by its deadline, and quick ones
+   * wait at most for one slot of their share although patient work is always queued.
+   */
+  @Property(tries = 200, seed = "47")
+  void admittedWorkMeetsDeadlineAndQuickIsNotDelayed(@ForAll long seed) {
+    Random random = new Random(seed);
+    AdmissionQueue queue = new AdmissionQueue(200, 1_000_000, SHARES);
+    Map<String, Long> ends = new HashMap<>();
+    Map<String, QueuedRequest> waiting = new HashMap<>();
+    int patientStarts = 0;
+    for (long now = 0; now < 30_000; now += 10) {
+      final long at = now;
+      ends.entrySet().stream()
+          .filter(e -> e.getValue() <= at)
+          .map(Map.Entry::getKey)
+          .toList()
+          .forEach(
+              id -> {
+                ends.remove(id);
+                queue.complete(id);
+              });
+      if (random.nextInt(30) == 0) {
+        QueuedRequest r = patient("p" + now, now + 20_000, 10 * (100 + random.nextInt(200)));
+        waiting.put(r.id(), r);
+        queue.offer(r, 10, now).forEach(x -> waiting.remove(x.request().id()));
+      }
+      if (random.nextInt(15) == 0) {
+        QueuedRequest r = quick("q" + now, now + 2_000, 10 * (5 + random.nextInt(20)));
+        waiting.put(r.id(), r);
+        queue.offer(r, 10, now).forEach(x -> waiting.remove(x.request().id()));
+      }
+      for (Optional<QueuedRequest> next; (next = queue.poll(10, now)).isPresent(); ) {
+        QueuedRequest r = next.get();
+        waiting.remove(r.id());
+        ends.put(r.id(), now + r.holdMillis());
+        patientStarts += r.id().startsWith("p") ? 1 : 0;
+      }
+      for (QueuedRequest r : waiting.values()) {
+        assertThat(now).as(r.id()).isLessThanOrEqualTo(r.latestStartMillis());
+        if (r.patienceClass().equals("quick")) {
+          assertThat(now - (r.deadlineMillis() - 2_000)).as(r.id()).isLessThanOrEqualTo(500);
+        }
+      }
+    }
+    assertThat(patientStarts).isPositive();
+  }
+
+  /** Guards against the refusal of dear or urgent work while cheap work could be refused. */
+  @Example
+  void lowestPriceAndLatestDeadlineAreRefusedFirst() {
+    AdmissionQueue queue = new AdmissionQueue(2, 1_000, new Shares(Map.of()));
+    assertThat(queue.offer(patient("p1", 90_000, 10), 0, 0)).isEmpty();
+    assertThat(queue.offer(patient("p2", 80_000, 10), 0, 0)).isEmpty();
+    assertThat(queue.offer(quick("q1", 70_000, 10), 0, 0))
+        .containsExactly(new Refusal(patient("p1", 90_000, 10), ErrorKind.OVERLOADED));
+    assertThat(queue.offer(patient("p3", 95_000, 10), 0, 0))
+        .containsExactly(new Refusal(patient("p3", 95_000, 10), ErrorKind.OVERLOADED));
+    assertThat(queue.offer(quick("late", 5, 10), 0, 6))
+        .containsExactly(new Refusal(quick("late", 5, 10), ErrorKind.DEADLINE_UNREACHABLE));
+  }
+
+  /** Guards against starvation of patient work by a stream of quick work that fills all slots. */
+  @Example
+  void patientWorkReceivesItsReservedShare() {
+    AdmissionQueue queue = new AdmissionQueue(500, 1_000_000, SHARES);
+    queue.offer(patient("p", 1_000_000, 1_000), 4, 0);
+    for (int i = 0; i < 100; i++) {
+      queue.offer(quick("q" + i, 900_000, 1_000), 4, 0);
+    }
+    Set<String> first = new HashSet<>();
+    for (int i = 0; i < 4; i++) {
+      first.add(queue.poll(4, 0).orElseThrow().id());
+    }
+    assertThat(first).contains("p");
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/retry/RetryTest.java
@@ -0,0 +1,129 @@
+package org.goldcrestfall.core.retry;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.goldcrestfall.core.retry.RetryDecision.Verdict;
+
+/** Guards against repeated bookings, retry storms and ejection of a whole pool. */
+final class RetryTest {
+
+  /** Guards P5 and the retry budget over generated failures. */
+  @Property(tries = 300, seed = "42")
+  void retriesOnlyWhatIsSafeWithinBudgetAndDeadline(@ForAll long seed) {
+    Random random = new Random(seed);
+    RetrySettings settings = RetrySettings.DEFAULTS;
+    RetryPolicy policy = new RetryPolicy(settings, seed);
+    List<Long> requests = new ArrayList<>();
+    List<Long> retries = new ArrayList<>();
+    long now = 0;
+    for (int i = 0; i < 500; i++) {
+      now += random.nextInt(60);
+      if (random.nextInt(3) > 0) {
+        policy.onRequest(now);
+        requests.add(now);
+      }
+      Failure failure =
+          new Failure(
+              random.nextBoolean(),
+              random.nextBoolean(),
+              1 + random.nextInt(5),
+              now + random.nextInt(3_000),
+              random.nextInt(5) == 0 ? random.nextInt(2_000) : 0);
+      RetryDecision decision = policy.decide(failure, now);
+      if (!decision.retry()) {
+        continue;
+      }
+      retries.add(now);
+      assertThat(failure.idempotent() || !failure.sent()).isTrue();
+      assertThat(now + decision.delayMillis()).isLessThan(failure.deadlineMillis());
+      assertThat(decision.delayMillis()).isGreaterThanOrEqualTo(failure.retryAfterMillis());
+      // The window moves in tenths, so it covers between 9 and 10 tenths of its length.
+      long from = now - settings.windowMillis() * 9 / 10;
+      long longest = now - settings.windowMillis();
+      double budget =
+          settings.budgetFloor()
+              + settings.budgetShare() * requests.stream().filter(t -> t >= longest).count();
+      assertThat((double) retries.stream().filter(t -> t > from).count())
+          .isLessThanOrEqualTo(budget);
+    }
+  }
+
+  /** Guards against retries in step: the delay is spread over the whole range and is bounded. */
+  @Example
+  void delayHasFullJitter() {
+    RetryPolicy policy = new RetryPolicy(new RetrySettings(40, 0, 10_000, 10_000, 20, 1_000), 1);
+    for (int attempt = 1; attempt < 40; attempt++) {
+      long bound = Math.min(1_000, 20L << Math.min(attempt - 1, 20));
+      long min = Long.MAX_VALUE;
+      long max = 0;
+      for (int i = 0; i < 200; i++) {
+        Failure failure = new Failure(false, false, attempt, Long.MAX_VALUE, 0);
+        long delay = policy.decide(failure, 0).delayMillis();
+        min = Math.min(min, delay);
+        max = Math.max(max, delay);
+      }
+      assertThat(max).isLessThanOrEqualTo(bound).isGreaterThan(bound * 3 / 4);
+      assertThat(min).isLessThan(bound / 4);
+    }
+  }
+
+  @Example
+  void sentBookingIsNotRepeated() {
+    RetryPolicy policy = new RetryPolicy(RetrySettings.DEFAULTS, 1);
+    assertThat(policy.decide(new Failure(true, false, 1, 9_999, 0), 0).verdict())
+        .isEqualTo(Verdict.NOT_REPEATABLE);
+  }
+
+  /** Guards against ejection of so many upstreams that the rest is overloaded. */
+  @Property(tries = 300, seed = "43")
+  void ejectsAtMostThirdOfPool(@ForAll long seed, @ForAll @IntRange(min = 1, max = 20) int size) {
+    Random random = new Random(seed);
+    OutlierDetector detector = new OutlierDetector(OutlierSettings.DEFAULTS);
+    List<String> pool = IntStream.range(0, size).mapToObj(i -> "e" + i).toList();
+    long now = 0;
+    for (int i = 0; i < 1_000; i++) {
+      now += random.nextInt(40);
+      String name = pool.get(random.nextInt(size));
+      if (random.nextInt(10) == 0) {
+        detector.onSuccess(name, now);
+      } else {
+        detector.onFailure(name, now);
+      }
+      List<String> seen = pool.subList(0, 1 + random.nextInt(size));
+      assertThat(detector.ejected(seen, now)).hasSizeLessThanOrEqualTo(seen.size() / 3);
+    }
+  }
+
+  /** Guards against an upstream that never returns, or that returns at once each time. */
+  @Example
+  void ejectionGrowsAndEnds() {
+    OutlierDetector detector = new OutlierDetector(OutlierSettings.DEFAULTS);
+    Set<String> pool = Set.of("a", "b", "c");
+    long now = 0;
+    for (long expected : new long[] {2_000, 4_000, 8_000}) {
+      assertThat(detector.ejected(pool, now)).isEmpty();
+      for (int i = 0; i < 5; i++) {
+        detector.onFailure("a", now);
+      }
+      assertThat(detector.ejected(pool, now + expected - 1)).containsExactly("a");
+      now += expected;
+    }
+    assertThat(detector.ejected(pool, now)).isEmpty();
+    for (int i = 0; i < 20; i++) {
+      if (i % 2 == 0) {
+        detector.onSuccess("b", now);
+      }
+      detector.onFailure(i % 2 == 0 ? "c" : "b", now);
+    }
+    assertThat(detector.ejected(pool, now)).hasSize(1);
+  }
+}
