Add the stand-in engine and service

Token i is a function of the whole prompt and i, so a client can verify that an answer is whole and its own. The service counts runs per Idempotency-Key and can drop a connection after the run. Both announce themselves to a rotating router and leave on SIGTERM. The HTTP layer sits directly on TCP, because Pekko HTTP answers 500 where a handler ends without a response.

--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/answer/Answer.java
@@ -0,0 +1,83 @@
+package org.goldcrestfall.standin.answer;
+
+import com.google.common.hash.Hashing;
+
+/**
+ * The answer of the stand-in engine to a prompt. Token {@code i} is a function of the whole prompt
+ * and {@code i}, so any client can verify that an answer is whole and belongs to its own request.
+ */
+public final class Answer {
+
+  private static final int WORD_COUNT = 4096;
+  private static final int SYLLABLE_BITS = 4;
+  private static final String[] SYLLABLES = {
+    "ba", "ce", "di", "fo", "gu", "ha", "je", "ki", "lo", "mu", "na", "pe", "ri", "so", "tu", "va"
+  };
+  private static final String[] WORDS = words();
+
+  /** The 64-bit golden ratio; it keeps the sequences of two prompts from being shifted copies. */
+  private static final long STEP = 0x9E3779B97F4A7C15L;
+
+  private static final int SHORT_MINIMUM = 16;
+  private static final int SHORT_RANGE = 1009;
+
+  private final long seed;
+
+  private Answer(long seed) {
+    this.seed = seed;
+  }
+
+  /** Returns the answer to {@code prompt}. */
+  public static Answer to(Prompt prompt) {
+    return new Answer(prompt.hash());
+  }
+
+  /** Returns the text of token {@code index}; it needs no escape in JSON. */
+  public String token(int index) {
+    int hash = Hashing.murmur3_32_fixed().hashLong(seed + index * STEP).asInt();
+    return WORDS[hash & (WORD_COUNT - 1)];
+  }
+
+  /**
+   * Returns the count of tokens under the limit {@code maxTokens}. One prompt in four ends by
+   * itself after 16 to 1024 tokens; the others run into the limit.
+   */
+  public int length(int maxTokens) {
+    return endsByItself() ? Math.min(maxTokens, ownLength()) : maxTokens;
+  }
+
+  /** Returns {@code stop} where the answer ended by itself, otherwise {@code length}. */
+  public String finishReason(int maxTokens) {
+    return endsByItself() && ownLength() <= maxTokens ? "stop" : "length";
+  }
+
+  /** Returns whether the answer ends before any limit. */
+  public boolean endsByItself() {
+    return (seed & 3) == 0;
+  }
+
+  /** Returns the text of the tokens from {@code from} (inclusive) to {@code to} (exclusive). */
+  public String text(int from, int to) {
+    StringBuilder text = new StringBuilder();
+    for (int i = from; i < to; i++) {
+      text.append(token(i));
+    }
+    return text.toString();
+  }
+
+  private int ownLength() {
+    return SHORT_MINIMUM + (int) ((seed >>> 2) % SHORT_RANGE);
+  }
+
+  private static String[] words() {
+    String[] words = new String[WORD_COUNT];
+    for (int i = 0; i < WORD_COUNT; i++) {
+      words[i] =
+          " "
+              + SYLLABLES[i & 15]
+              + SYLLABLES[(i >> SYLLABLE_BITS) & 15]
+              + SYLLABLES[(i >> (2 * SYLLABLE_BITS)) & 15];
+    }
+    return words;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/answer/ChatRequest.java
@@ -0,0 +1,67 @@
+package org.goldcrestfall.standin.answer;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A chat-completions request as the engine reads it. */
+public record ChatRequest(
+    String requestId,
+    String model,
+    Prompt prompt,
+    int maxTokens,
+    boolean stream,
+    int priority,
+    int resumeFrom) {
+
+  /** Output limit where the request states none. */
+  public static final int DEFAULT_MAX_TOKENS = 256;
+
+  private static final int MAX_TOKENS_LIMIT = 1_000_000;
+
+  /**
+   * Reads a request.
+   *
+   * @throws IllegalArgumentException with one sentence where a field is missing or out of range
+   */
+  public static ChatRequest parse(JsonNode json) {
+    JsonNode messages = json.path("messages");
+    require(messages.isArray() && !messages.isEmpty(), "messages: expected a non-empty array");
+    List<Message> parsed = new ArrayList<>();
+    for (JsonNode message : messages) {
+      require(message.path("role").isTextual(), "messages: expected a role in each message");
+      parsed.add(new Message(message.get("role").asText(), content(message.path("content"))));
+    }
+    int maxTokens = json.path("max_tokens").asInt(DEFAULT_MAX_TOKENS);
+    require(
+        maxTokens >= 1 && maxTokens <= MAX_TOKENS_LIMIT,
+        "max_tokens: expected 1 to " + MAX_TOKENS_LIMIT);
+    int resumeFrom = json.path("resume_from").asInt(0);
+    require(resumeFrom >= 0, "resume_from: expected 0 or more");
+    return new ChatRequest(
+        json.path("request_id").asText("chat"),
+        json.path("model").asText(""),
+        new Prompt(parsed),
+        maxTokens,
+        json.path("stream").asBoolean(false),
+        json.path("priority").asInt(0),
+        resumeFrom);
+  }
+
+  private static String content(JsonNode content) {
+    if (content.isTextual()) {
+      return content.asText();
+    }
+    StringBuilder text = new StringBuilder();
+    for (JsonNode part : content) {
+      text.append(part.path("text").asText(""));
+    }
+    return text.toString();
+  }
+
+  private static void require(boolean condition, String message) {
+    if (!condition) {
+      throw new IllegalArgumentException(message);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/answer/CompletionJson.java
@@ -0,0 +1,68 @@
+package org.goldcrestfall.standin.answer;
+
+import com.fasterxml.jackson.core.io.JsonStringEncoder;
+
+/**
+ * Writes completions in the chat-completions form. The token events are put together from constant
+ * parts, because a JSON generator for each token would dominate the cost of a fast engine.
+ */
+public final class CompletionJson {
+
+  /** The event that ends a stream. */
+  public static final String DONE = "data: [DONE]\n\n";
+
+  private final String eventStart;
+  private final String id;
+  private final String model;
+
+  /** Creates a writer for the answers to one request. */
+  public CompletionJson(String requestId, String model) {
+    this.id = quote(requestId);
+    this.model = quote(model);
+    this.eventStart =
+        "data: {\"id\":"
+            + id
+            + ",\"object\":\"chat.completion.chunk\",\"model\":"
+            + this.model
+            + ",\"offset\":";
+  }
+
+  /** Appends the event of token {@code offset}. */
+  public void appendToken(StringBuilder out, int offset, String text) {
+    out.append(eventStart).append(offset);
+    out.append(",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"").append(text);
+    out.append("\"},\"finish_reason\":null}]}\n\n");
+  }
+
+  /** Appends the last event with the usage, and the end of the stream. */
+  public void appendEnd(StringBuilder out, String finishReason, int promptTokens, int tokens) {
+    out.append("data: {\"id\":").append(id);
+    out.append(",\"object\":\"chat.completion.chunk\",\"model\":").append(model);
+    out.append(",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"");
+    out.append(finishReason).append("\"}],\"usage\":");
+    appendUsage(out, promptTokens, tokens);
+    out.append("}\n\n").append(DONE);
+  }
+
+  /** Returns a whole answer. */
+  public String whole(String text, String finishReason, int promptTokens, int tokens) {
+    StringBuilder out = new StringBuilder(text.length() + 256);
+    out.append("{\"id\":").append(id);
+    out.append(",\"object\":\"chat.completion\",\"model\":").append(model);
+    out.append(",\"choices\":[{\"index\":0,\"message\":{\"role\":\"assistant\",\"content\":");
+    out.append(quote(text)).append("},\"finish_reason\":\"").append(finishReason);
+    out.append("\"}],\"usage\":");
+    appendUsage(out, promptTokens, tokens);
+    return out.append("}").toString();
+  }
+
+  private static void appendUsage(StringBuilder out, int promptTokens, int tokens) {
+    out.append("{\"prompt_tokens\":").append(promptTokens);
+    out.append(",\"completion_tokens\":").append(tokens);
+    out.append(",\"total_tokens\":").append(promptTokens + tokens).append('}');
+  }
+
+  private static String quote(String text) {
+    return '"' + String.valueOf(JsonStringEncoder.getInstance().quoteAsString(text)) + '"';
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/call/Calls.java
@@ -0,0 +1,115 @@
+package org.goldcrestfall.standin.call;
+
+import com.google.common.util.concurrent.Uninterruptibles;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.goldcrestfall.standin.answer.Prompt;
+import org.goldcrestfall.standin.client.ChatCall;
+import org.goldcrestfall.standin.client.ChatClient;
+import org.goldcrestfall.standin.client.ChatReply;
+
+/** Single requests for scripts. The exit code is 0 if the answer is as expected, otherwise 1. */
+public final class Calls {
+
+  private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
+
+  private final HttpClient http = ChatClient.newHttpClient(Runnable::run);
+  private final PrintStream out;
+  private final PrintStream err;
+
+  /** Creates calls that print the answer to {@code out} and the rest to {@code err}. */
+  public Calls(PrintStream out, PrintStream err) {
+    this.out = out;
+    this.err = err;
+  }
+
+  /** Sends a plain call, or polls until all URLs answer with the awaited status. */
+  public int call(CallOptions options) throws InterruptedException {
+    if (options.untilStatus != 0) {
+      return poll(options);
+    }
+    try {
+      HttpResponse<String> response = send(options, options.urls.get(0), options.timeoutSeconds);
+      out.println(response.body());
+      boolean expected = options.expectStatus == 0 || options.expectStatus == response.statusCode();
+      if (!expected) {
+        err.println("status " + response.statusCode() + ", expected " + options.expectStatus);
+      }
+      return expected ? 0 : 1;
+    } catch (IOException e) {
+      err.println(options.urls.get(0) + " is not reachable: " + e);
+      return 1;
+    }
+  }
+
+  /** Sends a chat completion and verifies the answer. */
+  public int chat(ChatOptions options) {
+    ChatClient client = new ChatClient(Runnable::run, Duration.ofSeconds(options.timeoutSeconds));
+    ChatCall call =
+        new ChatCall(
+            options.key,
+            options.idempotencyKey,
+            options.patience,
+            options.model,
+            Prompt.ofUser(options.prompt),
+            options.maxTokens,
+            options.stream);
+    ChatReply reply = client.send(options.server, call).join();
+    out.println(reply.check().text().strip());
+    if (reply.check().isWhole()) {
+      err.println("whole answer: " + reply.check().tokens() + " tokens, id " + reply.requestId());
+      return 0;
+    }
+    String problem = reply.check().isWrong() ? reply.check().problem() : "" + reply.error();
+    err.println("status " + reply.status() + ", " + reply.kind() + ": " + problem);
+    return 1;
+  }
+
+  private int poll(CallOptions options) throws InterruptedException {
+    final long end = System.nanoTime() + Duration.ofSeconds(options.timeoutSeconds).toNanos();
+    List<String> open = new ArrayList<>(options.urls);
+    while (!open.isEmpty()) {
+      open.removeIf(url -> hasStatus(options, url));
+      if (System.nanoTime() > end) {
+        err.println("no status " + options.untilStatus + " from " + String.join(", ", open));
+        return 1;
+      }
+      if (!open.isEmpty()) {
+        Uninterruptibles.sleepUninterruptibly(POLL_INTERVAL);
+      }
+    }
+    return 0;
+  }
+
+  private boolean hasStatus(CallOptions options, String url) {
+    try {
+      return send(options, url, 2).statusCode() == options.untilStatus;
+    } catch (IOException e) {
+      return false;
+    } catch (InterruptedException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+
+  private HttpResponse<String> send(CallOptions options, String url, long timeoutSeconds)
+      throws IOException, InterruptedException {
+    HttpRequest.Builder request =
+        HttpRequest.newBuilder(URI.create(url))
+            .timeout(Duration.ofSeconds(timeoutSeconds))
+            .method(options.method, HttpRequest.BodyPublishers.ofString(options.body));
+    if (!options.key.isEmpty()) {
+      request.header("Authorization", "Bearer " + options.key);
+    }
+    if (!options.idempotencyKey.isEmpty()) {
+      request.header("Idempotency-Key", options.idempotencyKey);
+    }
+    return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/client/ChatCall.java
@@ -0,0 +1,46 @@
+package org.goldcrestfall.standin.client;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.time.Duration;
+import java.util.List;
+import org.goldcrestfall.standin.answer.Message;
+import org.goldcrestfall.standin.answer.Prompt;
+import org.goldcrestfall.standin.upstream.Json;
+
+/** A chat completion to send; {@code key}, {@code id} and {@code patience} may be empty. */
+public record ChatCall(
+    String key,
+    String id,
+    String patience,
+    String model,
+    Prompt prompt,
+    int maxTokens,
+    boolean stream) {
+
+  private record Body(
+      String model,
+      List<Message> messages,
+      @JsonProperty("max_tokens") int maxTokens,
+      boolean stream) {}
+
+  /** Returns the HTTP request to {@code server}, an {@code ip:port}. */
+  public HttpRequest request(String server, Duration timeout) {
+    HttpRequest.Builder builder =
+        HttpRequest.newBuilder(URI.create("http://" + server + "/v1/chat/completions"))
+            .timeout(timeout)
+            .header("Content-Type", "application/json");
+    header(builder, "Authorization", key.isEmpty() ? "" : "Bearer " + key);
+    header(builder, "Idempotency-Key", id);
+    header(builder, "Goldcrestfall-Patience", patience);
+    String body = Json.write(new Body(model, prompt.messages(), maxTokens, stream));
+    return builder.POST(HttpRequest.BodyPublishers.ofString(body)).build();
+  }
+
+  private static void header(HttpRequest.Builder builder, String name, String value) {
+    if (!value.isEmpty()) {
+      builder.header(name, value);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/client/ChatClient.java
@@ -0,0 +1,93 @@
+package org.goldcrestfall.standin.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.net.http.HttpClient;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import org.goldcrestfall.standin.upstream.Json;
+
+/** Sends chat completions and checks the answers. */
+public final class ChatClient {
+
+  private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(2);
+
+  private final HttpClient http;
+  private final Duration timeout;
+
+  /** Creates a client; {@code timeout} limits the time to the response headers. */
+  public ChatClient(Executor executor, Duration timeout) {
+    this.timeout = timeout;
+    this.http = newHttpClient(executor);
+  }
+
+  /** Returns an HTTP/1.1 client; without an explicit version it would ask for an upgrade. */
+  public static HttpClient newHttpClient(Executor executor) {
+    return HttpClient.newBuilder()
+        .version(HttpClient.Version.HTTP_1_1)
+        .connectTimeout(CONNECT_TIMEOUT)
+        .executor(executor)
+        .build();
+  }
+
+  /** Sends the call to {@code server}; the future never fails. */
+  public CompletableFuture<ChatReply> send(String server, ChatCall call) {
+    Exchange exchange = new Exchange(call);
+    return http.sendAsync(call.request(server, timeout), exchange::body)
+        .handle((response, failure) -> exchange.reply());
+  }
+
+  /** The state of one call; the body subscriber is the only writer until the call ends. */
+  private static final class Exchange {
+    private final AnswerCheck check;
+    private final long start = System.nanoTime();
+    private volatile int status;
+    private volatile String requestId = "";
+    private volatile long firstTokenNanos = -1;
+    private volatile JsonNode error;
+
+    Exchange(ChatCall call) {
+      this.check = new AnswerCheck(call.prompt(), call.maxTokens());
+    }
+
+    HttpResponse.BodySubscriber<Void> body(HttpResponse.ResponseInfo info) {
+      status = info.statusCode();
+      requestId = info.headers().firstValue("Goldcrestfall-Request-Id").orElse("");
+      String type = info.headers().firstValue("Content-Type").orElse("");
+      if (type.startsWith("text/event-stream")) {
+        return new EventReader(this::event);
+      }
+      return HttpResponse.BodySubscribers.mapping(
+          HttpResponse.BodySubscribers.ofString(java.nio.charset.StandardCharsets.UTF_8),
+          this::plain);
+    }
+
+    private void event(String data) {
+      check.event(data);
+      if (firstTokenNanos < 0 && check.tokens() > 0) {
+        firstTokenNanos = System.nanoTime() - start;
+      }
+    }
+
+    private Void plain(String body) {
+      if (status == 200) {
+        check.plain(body);
+        firstTokenNanos = System.nanoTime() - start;
+        return null;
+      }
+      try {
+        error = Json.parse(body).path("error");
+      } catch (IllegalArgumentException e) {
+        error = MissingNode.getInstance();
+      }
+      return null;
+    }
+
+    ChatReply reply() {
+      JsonNode cause = error == null ? check.error() : error;
+      return new ChatReply(status, check, cause, requestId, firstTokenNanos);
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/client/ChatReply.java
@@ -0,0 +1,20 @@
+package org.goldcrestfall.standin.client;
+
+import com.fasterxml.jackson.databind.JsonNode;
+
+/**
+ * What came back for a chat completion: status 0 where the connection failed, the check of the
+ * answer, the error object of a refusal (or null), and the time to the first token in nanoseconds
+ * (or -1).
+ */
+public record ChatReply(
+    int status, AnswerCheck check, JsonNode error, String requestId, long firstTokenNanos) {
+
+  /** Returns the error kind, {@code connection_lost}, or an empty text for a whole answer. */
+  public String kind() {
+    if (check.isWhole()) {
+      return "";
+    }
+    return error == null ? "connection_lost" : error.path("kind").asText("unknown");
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/client/EventReader.java
@@ -0,0 +1,76 @@
+package org.goldcrestfall.standin.client;
+
+import java.io.ByteArrayOutputStream;
+import java.net.http.HttpResponse;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Flow;
+import java.util.function.Consumer;
+
+/** Splits a response body into server-sent events and passes on the data of each. */
+public final class EventReader implements HttpResponse.BodySubscriber<Void> {
+
+  private static final String DATA = "data:";
+
+  private final Consumer<String> events;
+  private final CompletableFuture<Void> end = new CompletableFuture<>();
+  private final ByteArrayOutputStream line = new ByteArrayOutputStream(256);
+  private Flow.Subscription subscription;
+
+  /** Creates a reader that passes the data of each event to {@code events}. */
+  public EventReader(Consumer<String> events) {
+    this.events = events;
+  }
+
+  @Override
+  public CompletionStage<Void> getBody() {
+    return end;
+  }
+
+  @Override
+  public void onSubscribe(Flow.Subscription subscription) {
+    this.subscription = subscription;
+    subscription.request(Long.MAX_VALUE);
+  }
+
+  @Override
+  public void onNext(List<ByteBuffer> buffers) {
+    try {
+      buffers.forEach(this::read);
+    } catch (RuntimeException e) {
+      subscription.cancel();
+      end.completeExceptionally(e);
+    }
+  }
+
+  @Override
+  public void onError(Throwable failure) {
+    end.completeExceptionally(failure);
+  }
+
+  @Override
+  public void onComplete() {
+    end.complete(null);
+  }
+
+  private void read(ByteBuffer buffer) {
+    while (buffer.hasRemaining()) {
+      byte next = buffer.get();
+      if (next == '\n') {
+        line(line.toString(StandardCharsets.UTF_8));
+        line.reset();
+      } else if (next != '\r') {
+        line.write(next);
+      }
+    }
+  }
+
+  private void line(String text) {
+    if (text.startsWith(DATA)) {
+      events.accept(text.substring(DATA.length()).strip());
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/engine/EngineStats.java
@@ -0,0 +1,41 @@
+package org.goldcrestfall.standin.engine;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Counters of the engine. */
+final class EngineStats {
+
+  /** The counters at one time, as answered by {@code GET /stats}. */
+  record View(
+      long started,
+      long finished,
+      long cancelled,
+      long running,
+      long waiting,
+      long tokens,
+      @JsonProperty("late_started") long lateStarted,
+      @JsonProperty("cached_prompt_tokens") long cachedPromptTokens) {}
+
+  final AtomicLong started = new AtomicLong();
+  final AtomicLong finished = new AtomicLong();
+  final AtomicLong cancelled = new AtomicLong();
+  final AtomicLong tokens = new AtomicLong();
+
+  /** Requests that arrived more than 5 s after the engine announced that it is leaving. */
+  final AtomicLong lateStarted = new AtomicLong();
+
+  final AtomicLong cachedPromptTokens = new AtomicLong();
+
+  View view(BatchScheduler.Load load) {
+    return new View(
+        started.get(),
+        finished.get(),
+        cancelled.get(),
+        load.running(),
+        load.waiting(),
+        tokens.get(),
+        lateStarted.get(),
+        cachedPromptTokens.get());
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/engine/TokenStream.java
@@ -0,0 +1,82 @@
+package org.goldcrestfall.standin.engine;
+
+import java.util.Optional;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.goldcrestfall.standin.answer.Answer;
+import org.goldcrestfall.standin.answer.ChatRequest;
+import org.goldcrestfall.standin.answer.CompletionJson;
+
+/** Produces the server-sent events of one answer, from a given token. */
+final class TokenStream {
+
+  private final Answer answer;
+  private final CompletionJson json;
+  private final ChatRequest request;
+  private final int length;
+  private final EngineStats stats;
+  private int next;
+
+  TokenStream(ChatRequest request, EngineStats stats) {
+    this.request = request;
+    this.answer = Answer.to(request.prompt());
+    this.json = new CompletionJson(request.requestId(), request.model());
+    this.length = answer.length(request.maxTokens());
+    this.next = Math.min(request.resumeFrom(), length);
+    this.stats = stats;
+  }
+
+  boolean hasMoreTokens() {
+    return next < length;
+  }
+
+  /**
+   * Returns the events of the next tokens, up to {@code limit}. The write with the last token also
+   * holds the usage, which covers the whole answer, and the end of the stream.
+   */
+  ByteString nextEvents(int limit) {
+    StringBuilder out = new StringBuilder(limit * 180 + 256);
+    int end = Math.min(length, next + limit);
+    stats.tokens.addAndGet(end - next);
+    for (; next < end; next++) {
+      json.appendToken(out, next, answer.token(next));
+    }
+    if (next == length) {
+      json.appendEnd(
+          out, answer.finishReason(request.maxTokens()), request.prompt().tokens(), length);
+    }
+    return ByteString.fromString(out.toString());
+  }
+
+  /** Returns the whole answer as one JSON object. */
+  ByteString whole() {
+    stats.tokens.addAndGet(length);
+    next = length;
+    return ByteString.fromString(
+        json.whole(
+            answer.text(0, length),
+            answer.finishReason(request.maxTokens()),
+            request.prompt().tokens(),
+            length));
+  }
+
+  int length() {
+    return length;
+  }
+
+  int remaining() {
+    return length - next;
+  }
+
+  /** Returns a source that produces {@code limit} events per demand, without pauses. */
+  Source<ByteString, NotUsed> unpaced(int limit) {
+    return Source.unfold(true, more -> more ? Optional.of(produce(limit)) : Optional.empty());
+  }
+
+  private Pair<Boolean, ByteString> produce(int limit) {
+    ByteString events = nextEvents(limit);
+    return Pair.create(hasMoreTokens(), events);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/service/ServiceServer.java
@@ -0,0 +1,166 @@
+package org.goldcrestfall.standin.service;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.base.Ascii;
+import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.hash.Hashing;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.Materializer;
+import org.goldcrestfall.standin.upstream.Announcement;
+import org.goldcrestfall.standin.upstream.Json;
+import org.goldcrestfall.standin.upstream.Responses;
+import org.goldcrestfall.standin.upstream.UpstreamProcess;
+
+/**
+ * The stand-in plain service. GET looks up stock and has no effect; every other method is a booking
+ * and is counted under its {@code Idempotency-Key}.
+ */
+public final class ServiceServer implements UpstreamProcess.Upstream {
+
+  private record Stock(String item, int count) {}
+
+  private record BookingAnswer(String booking, long number, String path) {}
+
+  private record Stats(long bookings, long lookups, Map<String, Integer> runs) {}
+
+  private static final long BODY_TIMEOUT_MILLIS = 30_000;
+  private static final int STOCK_LIMIT = 500;
+
+  private final ServiceOptions options;
+  private final ScheduledExecutorService timers;
+  private final Materializer materializer;
+  private final UniformRandomProvider random;
+  private final ConcurrentHashMap<String, Integer> runs = new ConcurrentHashMap<>();
+  private final AtomicLong bookings = new AtomicLong();
+  private final AtomicLong lookups = new AtomicLong();
+  private final AtomicInteger running = new AtomicInteger();
+  private volatile FaultMode fault;
+
+  /** Creates the service. */
+  public ServiceServer(
+      ServiceOptions options, ScheduledExecutorService timers, Materializer materializer) {
+    this.options = options;
+    this.timers = timers;
+    this.materializer = materializer;
+    this.random = RandomSource.SPLIT_MIX_64.create(options.seed);
+    this.fault = options.fault;
+  }
+
+  /** Returns the count of an item in stock, a function of its name. */
+  public static int stockOf(String item) {
+    int hash = Hashing.murmur3_32_fixed().hashString(item, StandardCharsets.UTF_8).asInt();
+    return Math.floorMod(hash, STOCK_LIMIT);
+  }
+
+  @Override
+  public Announcement announcement(long incarnation, long sequence, boolean leaving) {
+    return new Announcement(
+        options.upstream.name,
+        incarnation,
+        sequence,
+        "service",
+        options.upstream.announcedAddress(),
+        options.upstream.zone,
+        leaving ? "leaving" : "ready",
+        options.upstream.ttlMillis,
+        List.of(),
+        options.service,
+        null,
+        new Announcement.Load(running.get(), 0, options.upstream.slots, 0),
+        List.of());
+  }
+
+  @Override
+  public int unfinished() {
+    return running.get();
+  }
+
+  @Override
+  public void leaving() {}
+
+  @Override
+  public CompletionStage<HttpResponse> handle(HttpRequest request) {
+    String path = request.getUri().path();
+    return request
+        .entity()
+        .toStrict(BODY_TIMEOUT_MILLIS, materializer)
+        .thenCompose(
+            entity ->
+                switch (path) {
+                  case "/health" -> done(Responses.json(200, Map.of("status", "ok")));
+                  case "/stats" -> done(Responses.json(200, stats()));
+                  case "/fault" -> done(setFault(entity.getData().toArray()));
+                  default -> call(request, path);
+                });
+  }
+
+  private CompletionStage<HttpResponse> call(HttpRequest request, String path) {
+    FaultMode now = isAffected() ? fault : FaultMode.NONE;
+    if (now == FaultMode.REFUSE) {
+      return done(Responses.error(503, "refused", "the service refuses calls"));
+    }
+    running.incrementAndGet();
+    HttpResponse response =
+        request.method().value().equals("GET") ? lookUp(path) : book(request, path);
+    CompletableFuture<HttpResponse> answer = new CompletableFuture<>();
+    Runnable finish =
+        () -> {
+          running.decrementAndGet();
+          answer.complete(now == FaultMode.DROP ? UpstreamProcess.DROP : response);
+        };
+    if (options.delayMillis > 0) {
+      timers.schedule(finish, options.delayMillis, TimeUnit.MILLISECONDS);
+    } else {
+      finish.run();
+    }
+    return answer;
+  }
+
+  private HttpResponse lookUp(String path) {
+    lookups.incrementAndGet();
+    String item = path.substring(path.lastIndexOf('/') + 1);
+    return Responses.json(200, new Stock(item, stockOf(item)));
+  }
+
+  private HttpResponse book(HttpRequest request, String path) {
+    String id = Responses.header(request, "Idempotency-Key");
+    runs.merge(id, 1, Integer::sum);
+    return Responses.json(201, new BookingAnswer(id, bookings.incrementAndGet(), path));
+  }
+
+  private Stats stats() {
+    return new Stats(bookings.get(), lookups.get(), ImmutableSortedMap.copyOf(runs));
+  }
+
+  private HttpResponse setFault(byte[] body) {
+    JsonNode mode = Json.parse(body).path("mode");
+    fault = FaultMode.valueOf(Ascii.toUpperCase(mode.asText()));
+    return Responses.json(200, Map.of("mode", mode.asText()));
+  }
+
+  private boolean isAffected() {
+    if (fault == FaultMode.NONE) {
+      return false;
+    }
+    synchronized (random) {
+      return random.nextDouble() < options.faultShare;
+    }
+  }
+
+  private static CompletionStage<HttpResponse> done(HttpResponse response) {
+    return CompletableFuture.completedFuture(response);
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/upstream/Announcer.java
@@ -0,0 +1,113 @@
+package org.goldcrestfall.standin.upstream;
+
+import com.google.common.flogger.FluentLogger;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Announces an upstream to one router after the other, as a balancer would distribute the calls. A
+ * failed call is repeated at the next router.
+ */
+final class Announcer {
+
+  /** Produces the body of an announcement. */
+  interface Source {
+    Announcement announcement(long sequence, boolean leaving);
+  }
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final Duration TIMEOUT = Duration.ofMillis(800);
+
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).connectTimeout(TIMEOUT).build();
+  private final List<String> routers;
+  private final String key;
+  private final Source source;
+  private long sequence;
+  private int nextRouter;
+  private boolean leaving;
+  private String lastProblem = "";
+
+  Announcer(UpstreamOptions options, Source source) {
+    this.routers = List.copyOf(options.routers);
+    this.key = options.upstreamKey;
+    this.source = source;
+    // Replicas that start together begin at different routers.
+    this.nextRouter =
+        routers.isEmpty() ? 0 : Math.floorMod(options.name.hashCode(), routers.size());
+  }
+
+  void start(ScheduledExecutorService executor, long intervalMillis) {
+    if (!routers.isEmpty()) {
+      executor.scheduleAtFixedRate(this::announce, 0, intervalMillis, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /** Announces that the upstream is leaving, now and from now on. */
+  void leave() {
+    synchronized (this) {
+      leaving = true;
+    }
+    if (!routers.isEmpty()) {
+      announce();
+    }
+  }
+
+  private void announce() {
+    try {
+      String body;
+      synchronized (this) {
+        body = Json.write(source.announcement(++sequence, leaving));
+      }
+      send(body, routers.size());
+    } catch (RuntimeException e) {
+      logger.atWarning().withCause(e).log("announce: no announcement was made");
+    }
+  }
+
+  private void send(String body, int attempts) {
+    String router;
+    synchronized (this) {
+      router = routers.get(nextRouter);
+      nextRouter = (nextRouter + 1) % routers.size();
+    }
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://" + router + "/v1/upstreams/announce"))
+            .timeout(TIMEOUT)
+            .header("Authorization", "Bearer " + key)
+            .header("Content-Type", "application/json")
+            .POST(HttpRequest.BodyPublishers.ofString(body))
+            .build();
+    client
+        .sendAsync(request, HttpResponse.BodyHandlers.ofString())
+        .whenComplete((response, failure) -> answered(router, body, attempts, response, failure));
+  }
+
+  private void answered(
+      String router, String body, int attempts, HttpResponse<String> response, Throwable failure) {
+    if (failure == null && response.statusCode() == 200) {
+      report("");
+      return;
+    }
+    report(
+        failure == null
+            ? router + " answered " + response.statusCode() + " " + response.body()
+            : router + " is not reachable");
+    if (attempts > 1) {
+      send(body, attempts - 1);
+    }
+  }
+
+  private synchronized void report(String problem) {
+    if (!problem.isEmpty() && !problem.equals(lastProblem)) {
+      logger.atInfo().log("announce: %s", problem);
+    }
+    lastProblem = problem;
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/upstream/UpstreamProcess.java
@@ -0,0 +1,101 @@
+package org.goldcrestfall.standin.upstream;
+
+import com.google.common.util.concurrent.Uninterruptibles;
+import java.io.PrintStream;
+import java.time.Duration;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.actor.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.stream.javadsl.Tcp;
+import org.goldcrestfall.core.common.MillisClock;
+
+/**
+ * Runs an upstream: serves HTTP, announces itself, and on SIGTERM announces that it is leaving,
+ * finishes what runs and exits with code 0.
+ */
+public final class UpstreamProcess {
+
+  /** What differs between engine and service. */
+  public interface Upstream {
+
+    /** Returns the announcement of the current state. */
+    Announcement announcement(long incarnation, long sequence, boolean leaving);
+
+    /** Returns the answer to a request, or {@link #DROP} to close the connection without one. */
+    CompletionStage<HttpResponse> handle(HttpRequest request);
+
+    /** Returns the count of requests that run or wait. */
+    int unfinished();
+
+    /** Notes that the upstream announced that it is leaving. */
+    void leaving();
+  }
+
+  /** The answer that closes the connection without a byte. */
+  public static final HttpResponse DROP = HttpResponse.create().withStatus(500);
+
+  private static final long FINISH_LIMIT_MILLIS = 120_000;
+  private static final long POLL_MILLIS = 20;
+
+  private UpstreamProcess() {}
+
+  /** Starts the upstream and returns when it accepts connections. */
+  public static void run(
+      UpstreamOptions options,
+      ActorSystem system,
+      ScheduledExecutorService timers,
+      MillisClock clock,
+      Upstream upstream,
+      PrintStream out)
+      throws Exception {
+    Tcp.ServerBinding binding =
+        HttpListener.listen(system, options.address, options.port, upstream::handle)
+            .toCompletableFuture()
+            .get(30, TimeUnit.SECONDS);
+    final long incarnation = System.currentTimeMillis();
+    Announcer announcer =
+        new Announcer(
+            options, (sequence, leaving) -> upstream.announcement(incarnation, sequence, leaving));
+    announcer.start(timers, options.announceMillis);
+    Runtime.getRuntime()
+        .addShutdownHook(
+            new Thread(() -> leave(options, clock, upstream, announcer, binding, out)));
+    out.println("standin: " + options.name + " listens on " + options.announcedAddress());
+    out.flush();
+  }
+
+  private static void leave(
+      UpstreamOptions options,
+      MillisClock clock,
+      Upstream upstream,
+      Announcer announcer,
+      Tcp.ServerBinding binding,
+      PrintStream out) {
+    final long start = clock.nowMillis();
+    upstream.leaving();
+    announcer.leave();
+    while (isBusy(options, clock.nowMillis() - start, upstream)) {
+      Uninterruptibles.sleepUninterruptibly(Duration.ofMillis(POLL_MILLIS));
+    }
+    try {
+      binding.unbind().toCompletableFuture().get(6, TimeUnit.SECONDS);
+    } catch (Exception e) {
+      out.println("standin: the port was not released");
+    }
+    out.println("standin: " + options.name + " left with " + upstream.unfinished() + " unfinished");
+    out.flush();
+    // The hook ends the process itself so that a graceful exit has code 0, not 143.
+    Runtime.getRuntime().halt(upstream.unfinished() == 0 ? 0 : 1);
+  }
+
+  private static boolean isBusy(UpstreamOptions options, long waited, Upstream upstream) {
+    if (waited > FINISH_LIMIT_MILLIS) {
+      return false;
+    }
+    boolean announced = options.routers.isEmpty() || waited >= options.leaveMillis;
+    return !announced || upstream.unfinished() > 0;
+  }
+}
