--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/budget/AllotmentLedger.java
@@ -0,0 +1,231 @@
+package org.goldcrestfall.core.budget;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.control.ControlCommand.GrantAllotment;
+import org.goldcrestfall.core.control.ControlCommand.ReturnAllotment;
+
+/**
+ * The allotments that this router incarnation holds, per workspace. A request reserves its worst
+ * case before dispatch and settles its actual use. Replies of the control group may arrive late,
+ * twice or in any order: a grant counts once by its number, a return is a cumulative total. Not
+ * thread-safe.
+ */
+public final class AllotmentLedger {
+
+  private final Incarnation self;
+  private final UseLimit limit;
+  private final Map<String, Entry> entries = new HashMap<>();
+
+  /** Creates the empty ledger of a router without a disk. */
+  public AllotmentLedger(Incarnation self) {
+    this(self, UseLimit.NONE);
+  }
+
+  /** Creates the empty ledger of a router incarnation whose use is limited by {@code limit}. */
+  public AllotmentLedger(Incarnation self, UseLimit limit) {
+    this.self = self;
+    this.limit = limit;
+  }
+
+  /** Returns the router incarnation. */
+  public Incarnation self() {
+    return self;
+  }
+
+  /** Returns the workspaces with an entry. */
+  public Set<String> workspaces() {
+    return new TreeSet<>(entries.keySet());
+  }
+
+  /** Returns the totals of a workspace. */
+  public AllotmentTotals totals(String workspace) {
+    Entry e = entries.get(workspace);
+    return e == null
+        ? new AllotmentTotals(0, 0, 0, 0, 0, 0, 0)
+        : new AllotmentTotals(e.granted, e.reserved, e.used, e.settled, e.returned, e.in, e.out);
+  }
+
+  /** Returns the tokens of a workspace that can be reserved. */
+  public long available(String workspace) {
+    Entry e = entries.get(workspace);
+    return e == null ? 0 : e.available();
+  }
+
+  /** Reserves tokens for a request. */
+  public Reservation reserve(String workspace, long tokens) {
+    checkTokens(tokens);
+    Entry e = entry(workspace);
+    if (tokens > e.available()) {
+      return Reservation.EXHAUSTED;
+    }
+    if (!limit.allows(workspace, e.highestUse() + tokens)) {
+      return Reservation.WATERMARK_PENDING;
+    }
+    e.reserved += tokens;
+    return Reservation.RESERVED;
+  }
+
+  /** Turns a reservation into {@code used} tokens of unsettled use and frees the rest. */
+  public void settle(String workspace, long reserved, long used) {
+    checkTokens(used);
+    checkArgument(used <= reserved, "use %s exceeds the reservation %s", used, reserved);
+    release(workspace, reserved);
+    entry(workspace).used += used;
+  }
+
+  /** Frees a reservation, or a part of it. */
+  public void release(String workspace, long tokens) {
+    checkTokens(tokens);
+    Entry e = entry(workspace);
+    checkArgument(tokens <= e.reserved, "release %s exceeds reserved %s", tokens, e.reserved);
+    e.reserved -= tokens;
+  }
+
+  /** Turns unsettled use into settled use, when the control group has charged its record. */
+  public void charged(String workspace, long tokens) {
+    notCharged(workspace, tokens);
+    entry(workspace).settled += tokens;
+  }
+
+  /** Frees unsettled use, when the record of another router was charged for the request. */
+  public void notCharged(String workspace, long tokens) {
+    checkTokens(tokens);
+    Entry e = entry(workspace);
+    checkArgument(tokens <= e.used, "tokens %s exceed unsettled use %s", tokens, e.used);
+    e.used -= tokens;
+  }
+
+  /** Turns a reservation into settled use, when the start of a booking was committed. */
+  public void bookingCharged(String workspace, long tokens) {
+    release(workspace, tokens);
+    entry(workspace).settled += tokens;
+  }
+
+  /** Takes back the charge of a booking, when its outcome NOT_RUN was committed. */
+  public void bookingRefunded(String workspace, long tokens) {
+    checkTokens(tokens);
+    Entry e = entry(workspace);
+    checkArgument(tokens <= e.settled, "refund %s exceeds settled %s", tokens, e.settled);
+    e.settled -= tokens;
+  }
+
+  /**
+   * Returns the grant to ask the control group for: the unanswered one if there is one, so that a
+   * number never stands for two amounts, otherwise a new one.
+   */
+  public GrantAllotment requestGrant(String workspace, long tokens, long needed) {
+    checkTokens(tokens);
+    checkArgument(needed >= 0 && needed <= tokens, "needed %s is not within %s", needed, tokens);
+    Entry e = entry(workspace);
+    if (e.pending == null) {
+      e.grantNumber++;
+      e.pending = new GrantAllotment(self, workspace, e.grantNumber, tokens, needed);
+    }
+    return e.pending;
+  }
+
+  /** Returns whether a grant was asked for and not answered. */
+  public boolean hasPendingGrant(String workspace) {
+    return entry(workspace).pending != null;
+  }
+
+  /** Adds a grant and returns whether it was the awaited one; others are ignored. */
+  public boolean grantReceived(String workspace, long number, long tokens) {
+    checkTokens(tokens);
+    Entry e = entry(workspace);
+    if (e.pending == null || e.pending.number() != number) {
+      return false;
+    }
+    e.pending = null;
+    e.granted += tokens;
+    return true;
+  }
+
+  /** Closes the awaited grant, when the control group refused it. */
+  public void grantRefused(String workspace, long number) {
+    grantReceived(workspace, number, 0);
+  }
+
+  /** Gives tokens back, at most those available, and returns how many. */
+  public long giveBack(String workspace, long tokens) {
+    checkTokens(tokens);
+    Entry e = entry(workspace);
+    long n = Math.min(tokens, e.available());
+    e.returned += n;
+    return n;
+  }
+
+  /** Returns the returns that the control group has not acknowledged. */
+  public List<ReturnAllotment> unacknowledgedReturns() {
+    List<ReturnAllotment> result = new ArrayList<>();
+    for (String workspace : workspaces()) {
+      Entry e = entries.get(workspace);
+      if (e.returned > e.returnAcknowledged) {
+        result.add(new ReturnAllotment(self, workspace, e.returned));
+      }
+    }
+    return result;
+  }
+
+  /** Takes note that the control group has applied a return. */
+  public void returnAcknowledged(String workspace, long returnedTotal) {
+    Entry e = entry(workspace);
+    e.returnAcknowledged = Math.max(e.returnAcknowledged, returnedTotal);
+  }
+
+  /**
+   * Deducts tokens for a transfer and returns whether they were available. A transfer counts as
+   * use, so it must be covered by the limit too.
+   */
+  boolean transferOut(String workspace, long tokens) {
+    checkTokens(tokens);
+    Entry e = entry(workspace);
+    if (tokens > e.available() || !limit.allows(workspace, e.highestUse() + tokens)) {
+      return false;
+    }
+    e.out += tokens;
+    return true;
+  }
+
+  void transferIn(String workspace, long tokens) {
+    checkTokens(tokens);
+    entry(workspace).in += tokens;
+  }
+
+  private Entry entry(String workspace) {
+    return entries.computeIfAbsent(workspace, w -> new Entry());
+  }
+
+  private static void checkTokens(long tokens) {
+    checkArgument(tokens >= 0, "tokens must not be negative: %s", tokens);
+  }
+
+  private static final class Entry {
+    long granted;
+    long reserved;
+    long used;
+    long settled;
+    long returned;
+    long returnAcknowledged;
+    long in;
+    long out;
+    long grantNumber;
+    GrantAllotment pending;
+
+    long available() {
+      return granted + in - out - returned - settled - used - reserved;
+    }
+
+    long highestUse() {
+      return settled + used + reserved + out;
+    }
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/budget/AllotmentTotals.java
@@ -0,0 +1,26 @@
+package org.goldcrestfall.core.budget;
+
+/**
+ * The totals of one workspace in one router incarnation, in tokens. {@code reserved} and {@code
+ * used} (unsettled) are current values, the others are cumulative; {@code settled} includes
+ * bookings.
+ */
+public record AllotmentTotals(
+    long granted,
+    long reserved,
+    long used,
+    long settled,
+    long returned,
+    long transferredIn,
+    long transferredOut) {
+
+  /** Returns the tokens that can be reserved. */
+  public long available() {
+    return granted + transferredIn - transferredOut - returned - settled - used - reserved;
+  }
+
+  /** Returns the tokens that this incarnation may have used or transferred away. */
+  public long highestUse() {
+    return settled + used + reserved + transferredOut;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/budget/BlockWatermark.java
@@ -0,0 +1,51 @@
+package org.goldcrestfall.core.budget;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+
+/**
+ * The highest use of each workspace that is durable on the router's disk. It is raised in blocks
+ * before the use happens, so a later incarnation of the host can prove that everything beyond it is
+ * unused. The owner writes {@link #nextWrite} to disk, syncs it, and then calls {@link #written}.
+ */
+public final class BlockWatermark implements UseLimit {
+
+  private final long blockTokens;
+  private final TreeMap<String, Long> durable = new TreeMap<>();
+  private final TreeMap<String, Long> wanted = new TreeMap<>();
+
+  /** Creates an empty watermark that is raised by {@code blockTokens} at a time. */
+  public BlockWatermark(long blockTokens) {
+    checkArgument(blockTokens > 0, "blockTokens must be positive: %s", blockTokens);
+    this.blockTokens = blockTokens;
+  }
+
+  /**
+   * Returns whether {@code total} is within the durable watermark. When less than half a block is
+   * left, the next block is requested, so that writing is ahead of use.
+   */
+  @Override
+  public boolean allows(String workspace, long total) {
+    long mark = durable.getOrDefault(workspace, 0L);
+    if (total + blockTokens / 2 > mark) {
+      wanted.merge(workspace, total + blockTokens, Math::max);
+    }
+    return total <= mark;
+  }
+
+  /** Returns the watermarks to write now, all workspaces included, if any has to be raised. */
+  public Optional<Map<String, Long>> nextWrite() {
+    TreeMap<String, Long> next = new TreeMap<>(durable);
+    wanted.forEach((workspace, mark) -> next.merge(workspace, mark, Math::max));
+    return next.equals(durable) ? Optional.empty() : Optional.of(next);
+  }
+
+  /** Takes note that the watermarks are durable. */
+  public void written(Map<String, Long> marks) {
+    marks.forEach((workspace, mark) -> durable.merge(workspace, mark, Math::max));
+    wanted.entrySet().removeIf(e -> e.getValue() <= durable.getOrDefault(e.getKey(), 0L));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/budget/SettlementQueue.java
@@ -0,0 +1,140 @@
+package org.goldcrestfall.core.budget;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import org.goldcrestfall.core.control.BillingRecord;
+import org.goldcrestfall.core.control.ControlCommand.SettleRequests;
+import org.goldcrestfall.core.control.ControlReply;
+
+/**
+ * The billing records of a router until the control group has acknowledged them. One numbered batch
+ * is under way at a time and is resent unchanged until its reply arrives, so the control group can
+ * tell a repeated batch from a new one. Not thread-safe.
+ */
+public final class SettlementQueue {
+
+  /** Records in a batch at most. */
+  public static final int MAX_BATCH_RECORDS = 256;
+
+  /** Time after which an incomplete batch is sent. */
+  public static final long BATCH_INTERVAL_MILLIS = 200;
+
+  /** Time after which a batch without a reply is sent again. */
+  public static final long RESEND_MILLIS = 1_000;
+
+  private final AllotmentLedger ledger;
+  private final ArrayDeque<BillingRecord> waiting = new ArrayDeque<>();
+  private SettleRequests underWay;
+  private long oldestMillis;
+  private long sentMillis;
+  private long lastBatch;
+  private int batchLimit = MAX_BATCH_RECORDS;
+
+  /** Creates an empty queue that settles the use in {@code ledger}. */
+  public SettlementQueue(AllotmentLedger ledger) {
+    this.ledger = ledger;
+  }
+
+  /** What became of a record. */
+  public enum Result {
+    /** The record was charged. */
+    CHARGED,
+    /** The request was billed before; the tokens are free again. */
+    ALREADY_BILLED,
+    /** The control group refused the record as invalid; its tokens stay used. */
+    REJECTED
+  }
+
+  /** A record with what became of it. */
+  public record Outcome(BillingRecord record, Result result) {}
+
+  /** Adds the record of a finished request, whose use the ledger holds as unsettled. */
+  public void add(BillingRecord record, long nowMillis) {
+    if (waiting.isEmpty()) {
+      oldestMillis = nowMillis;
+    }
+    waiting.add(record);
+  }
+
+  /** Returns the number of records that are not acknowledged. */
+  public int size() {
+    return waiting.size() + (underWay == null ? 0 : underWay.records().size());
+  }
+
+  /** Returns the batch to send now, if any. {@code flush} does not wait for a full batch. */
+  public Optional<SettleRequests> next(long nowMillis, boolean flush) {
+    if (underWay != null) {
+      if (nowMillis - sentMillis < RESEND_MILLIS) {
+        return Optional.empty();
+      }
+    } else {
+      boolean due =
+          waiting.size() >= batchLimit || nowMillis - oldestMillis >= BATCH_INTERVAL_MILLIS;
+      if (waiting.isEmpty() || !(flush || due)) {
+        return Optional.empty();
+      }
+      List<BillingRecord> records = new ArrayList<>();
+      while (records.size() < batchLimit && !waiting.isEmpty()) {
+        records.add(waiting.remove());
+      }
+      lastBatch++;
+      underWay = new SettleRequests(ledger.self(), lastBatch, records);
+      oldestMillis = nowMillis;
+    }
+    sentMillis = nowMillis;
+    return Optional.of(underWay);
+  }
+
+  /** Applies the reply to a batch and returns its outcomes; other batches have none. */
+  public List<Outcome> acknowledge(ControlReply.Settled reply) {
+    if (underWay == null || underWay.batch() != reply.batch()) {
+      return List.of();
+    }
+    List<BillingRecord> records = underWay.records();
+    checkArgument(
+        records.size() == reply.charged().size(),
+        "the reply to batch %s has %s results, expected %s",
+        reply.batch(),
+        reply.charged().size(),
+        records.size());
+    underWay = null;
+    batchLimit = MAX_BATCH_RECORDS;
+    List<Outcome> outcomes = new ArrayList<>();
+    for (int i = 0; i < records.size(); i++) {
+      BillingRecord r = records.get(i);
+      if (reply.charged().get(i)) {
+        ledger.charged(r.workspace(), r.tokens());
+        outcomes.add(new Outcome(r, Result.CHARGED));
+      } else {
+        ledger.notCharged(r.workspace(), r.tokens());
+        outcomes.add(new Outcome(r, Result.ALREADY_BILLED));
+      }
+    }
+    return outcomes;
+  }
+
+  /**
+   * Handles the refusal of a batch: its records are sent again in smaller batches under new
+   * numbers, until a refused record stands alone and is given up.
+   */
+  public List<Outcome> refuse(long batch) {
+    if (underWay == null || underWay.batch() != batch) {
+      return List.of();
+    }
+    List<BillingRecord> records = underWay.records();
+    underWay = null;
+    if (records.size() == 1) {
+      batchLimit = MAX_BATCH_RECORDS;
+      return List.of(new Outcome(records.get(0), Result.REJECTED));
+    }
+    batchLimit = records.size() / 2;
+    for (int i = records.size() - 1; i >= 0; i--) {
+      waiting.addFirst(records.get(i));
+    }
+    return List.of();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/budget/TransferLedger.java
@@ -0,0 +1,122 @@
+package org.goldcrestfall.core.budget;
+
+import static com.google.common.base.Preconditions.checkArgument;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.common.SeenNumbers;
+import org.goldcrestfall.core.control.ControlCommand.TransferAllotment;
+
+/**
+ * Transfers of tokens between routers. The giver deducts the tokens and numbers the transfer before
+ * it sends it, and resends it until it is acknowledged; the receiver adds each number of a giver
+ * once. Both sides report it to the control group. A transfer names the receiving incarnation and
+ * is never taken back, so it can strand tokens but never double them. Not thread-safe.
+ */
+public final class TransferLedger {
+
+  private final AllotmentLedger ledger;
+  private final Map<String, Long> numbers = new HashMap<>();
+  private final TreeMap<String, TransferAllotment> undelivered = new TreeMap<>();
+  private final TreeMap<String, TransferAllotment> unreported = new TreeMap<>();
+  private final Map<String, SeenNumbers> received = new HashMap<>();
+  private final Set<Incarnation> closed = new HashSet<>();
+  private long closedThrough;
+
+  /** Creates an empty ledger that moves tokens of {@code ledger}. */
+  public TransferLedger(AllotmentLedger ledger) {
+    this.ledger = ledger;
+  }
+
+  /** Deducts tokens for a peer and returns the transfer to send, if they are available. */
+  public Optional<TransferAllotment> give(String workspace, long tokens, Incarnation to) {
+    checkArgument(!to.equals(ledger.self()), "a router does not transfer tokens to itself");
+    if (tokens <= 0 || closed.contains(to) || !ledger.transferOut(workspace, tokens)) {
+      return Optional.empty();
+    }
+    long number = numbers.merge(workspace, 1L, Long::sum);
+    TransferAllotment t = new TransferAllotment(ledger.self(), to, workspace, number, tokens);
+    undelivered.put(key(t), t);
+    unreported.put(key(t), t);
+    return Optional.of(t);
+  }
+
+  /** Returns the transfers to resend to their receivers. */
+  public List<TransferAllotment> undelivered() {
+    return new ArrayList<>(undelivered.values());
+  }
+
+  /** Takes note that the receiver has acknowledged a transfer of this router. */
+  public void delivered(String workspace, long number) {
+    undelivered.remove(key(ledger.self(), workspace, number));
+  }
+
+  /**
+   * Adds the tokens of an arriving transfer once and returns whether to acknowledge it. A transfer
+   * for another incarnation or from a closed one is not accepted.
+   */
+  public boolean receive(TransferAllotment t) {
+    if (!t.to().equals(ledger.self())) {
+      return false;
+    }
+    SeenNumbers seen =
+        received.computeIfAbsent(t.from() + "/" + t.workspace(), k -> new SeenNumbers());
+    if (closed.contains(t.from())) {
+      return seen.contains(t.number());
+    }
+    if (seen.add(t.number())) {
+      ledger.transferIn(t.workspace(), t.tokens());
+      unreported.put(key(t), t);
+    }
+    return true;
+  }
+
+  /** Returns the transfers to report to the control group. */
+  public List<TransferAllotment> unreported() {
+    return new ArrayList<>(unreported.values());
+  }
+
+  /** Takes note that the control group has recorded a transfer. */
+  public void reported(TransferAllotment t) {
+    unreported.remove(key(t));
+  }
+
+  /**
+   * Takes note that incarnations were closed at or before a log index. No further transfer is
+   * accepted from them and undelivered ones to them are not resent; the control group has the
+   * record, or gets it from this router.
+   */
+  public void close(Set<Incarnation> incarnations, long throughIndex) {
+    closed.addAll(incarnations);
+    undelivered.values().removeIf(t -> closed.contains(t.to()));
+    closedThrough = Math.max(closedThrough, throughIndex);
+  }
+
+  /**
+   * Returns the log index up to which all received transfers of closed givers are reported, for
+   * {@code ReportTransfers}; empty while some are not.
+   */
+  public Optional<Long> closedThrough() {
+    for (TransferAllotment t : unreported.values()) {
+      if (closed.contains(t.from())) {
+        return Optional.empty();
+      }
+    }
+    return closedThrough == 0 ? Optional.empty() : Optional.of(closedThrough);
+  }
+
+  private static String key(TransferAllotment t) {
+    return key(t.from(), t.workspace(), t.number());
+  }
+
+  private static String key(Incarnation from, String workspace, long number) {
+    return from + "/" + workspace + "/" + number;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/control/Account.java
@@ -0,0 +1,105 @@
+package org.goldcrestfall.core.control;
+
+import java.util.List;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.common.SeenNumbers;
+
+/** The mutable account of one incarnation in one budget; see {@link AllotmentAccount}. */
+final class Account {
+
+  static final long NO_PROOF = -1;
+
+  final String workspace;
+  final Incarnation router;
+  long granted;
+  long transferredIn;
+  long transferredOut;
+  long charged;
+  long returned;
+  long highestUsed = NO_PROOF;
+  long freed;
+  long released;
+  long closedAt;
+  boolean releaseRequested;
+  long lastGrantNumber;
+  long lastGrantTokens;
+  long shortage;
+  SeenNumbers transfers = new SeenNumbers();
+
+  Account(String workspace, Incarnation router) {
+    this.workspace = workspace;
+    this.router = router;
+  }
+
+  /** Returns the tokens that count as spent or spendable by this incarnation. */
+  long balance() {
+    return granted + transferredIn - transferredOut - charged - returned - freed - released;
+  }
+
+  /** Returns the tokens that this account has taken from the unallotted rest. */
+  long taken() {
+    return granted - returned - freed - released;
+  }
+
+  /**
+   * Recomputes what the proof of use frees. A transfer or return that is recorded after the proof
+   * changes the result, so this runs after every change of a closed account.
+   */
+  void updateFreed() {
+    if (highestUsed == NO_PROOF) {
+      return;
+    }
+    long used = Math.max(highestUsed, charged + transferredOut);
+    freed = Math.max(0, granted + transferredIn - returned - released - used);
+  }
+
+  AllotmentAccount view() {
+    return new AllotmentAccount(
+        workspace,
+        router,
+        granted,
+        transferredIn,
+        transferredOut,
+        charged,
+        returned,
+        highestUsed,
+        freed,
+        released,
+        closedAt,
+        releaseRequested);
+  }
+
+  Saved save() {
+    return new Saved(
+        view(), lastGrantNumber, lastGrantTokens, shortage, transfers.through(), transfers.ahead());
+  }
+
+  static Account restore(Saved s) {
+    AllotmentAccount v = s.account();
+    Account a = new Account(v.workspace(), v.router());
+    a.granted = v.granted();
+    a.transferredIn = v.transferredIn();
+    a.transferredOut = v.transferredOut();
+    a.charged = v.charged();
+    a.returned = v.returned();
+    a.highestUsed = v.highestUsed();
+    a.freed = v.freed();
+    a.released = v.released();
+    a.closedAt = v.closedAt();
+    a.releaseRequested = v.releaseRequested();
+    a.lastGrantNumber = s.lastGrantNumber();
+    a.lastGrantTokens = s.lastGrantTokens();
+    a.shortage = s.shortage();
+    a.transfers = new SeenNumbers(s.transfersThrough(), s.transfersAhead());
+    return a;
+  }
+
+  /** The account in a snapshot. */
+  public record Saved(
+      AllotmentAccount account,
+      long lastGrantNumber,
+      long lastGrantTokens,
+      long shortage,
+      long transfersThrough,
+      List<Long> transfersAhead) {}
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/control/BillingBook.java
@@ -0,0 +1,126 @@
+package org.goldcrestfall.core.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.Incarnation;
+
+/** The billing records: the first record of a request wins and is the only one charged. */
+final class BillingBook {
+
+  /**
+   * Whole records kept over all workspaces, about 25 MB. A dropped record can no longer be read by
+   * {@code GET /admin/v1/billing}, but its request is still known as billed.
+   */
+  static final int MAX_RECORDS = 50_000;
+
+  /**
+   * Billed requests that are at least remembered, at 33 bytes each. A request whose id is dropped
+   * would be charged again if its caller retried it; at 441 requests a second this is after 9
+   * minutes, at a tenth of that after 94 minutes.
+   */
+  static final int MIN_REMEMBERED_IDS = 250_000;
+
+  /**
+   * Incarnations whose last batch is remembered. Batches of an incarnation that is dropped are
+   * refused when they are older than the last one of its host.
+   */
+  static final int MAX_BATCHES = 4_096;
+
+  private final BudgetBook budgets;
+  private final LinkedHashMap<List<String>, BillingRecord> records = new LinkedHashMap<>();
+  private final DigestSet billed = new DigestSet(MIN_REMEMBERED_IDS);
+  private final TreeMap<Incarnation, Batch> batches = new TreeMap<>();
+
+  BillingBook(BudgetBook budgets) {
+    this.budgets = budgets;
+  }
+
+  ControlReply settle(ControlCommand.SettleRequests c) {
+    Batch last = batches.getOrDefault(c.router(), new Batch(c.router(), 0, List.of()));
+    if (c.batch() == last.number()) {
+      return new ControlReply.Settled(c.batch(), last.charged());
+    }
+    if (c.batch() < last.number()) {
+      return new ControlReply.Refused(
+          ErrorKind.INVALID_PARAMETER, "batch " + c.batch() + " was answered earlier");
+    }
+    for (BillingRecord r : c.records()) {
+      Budget b = budgets.find(r.workspace());
+      ControlReply.Refused refused = budgets.check(c.router(), b, r.workspace(), r.tokens());
+      if (refused != null) {
+        return refused;
+      }
+    }
+    List<Boolean> charged = new ArrayList<>();
+    for (BillingRecord r : c.records()) {
+      boolean first = billed.add(r.workspace(), r.requestId());
+      charged.add(first);
+      if (first) {
+        Budget b = budgets.find(r.workspace());
+        b.charge(budgets.account(b, c.router()), r.tokens());
+        records.put(List.of(r.workspace(), r.requestId()), r);
+      }
+    }
+    while (records.size() > MAX_RECORDS) {
+      records.remove(records.keySet().iterator().next());
+    }
+    batches.put(c.router(), new Batch(c.router(), c.batch(), charged));
+    if (batches.size() > MAX_BATCHES) {
+      dropOldestBatch();
+    }
+    return new ControlReply.Settled(c.batch(), charged);
+  }
+
+  private void dropOldestBatch() {
+    Map<String, Long> newest = new HashMap<>();
+    batches.keySet().forEach(i -> newest.merge(i.host(), i.boot(), Math::max));
+    for (Incarnation i : batches.keySet()) {
+      if (newest.get(i.host()) > i.boot()) {
+        batches.remove(i);
+        return;
+      }
+    }
+  }
+
+  List<BillingRecord> newest(String workspace, int limit) {
+    List<BillingRecord> result = new ArrayList<>();
+    for (BillingRecord r : records.values()) {
+      if (r.workspace().equals(workspace)) {
+        result.add(r);
+      }
+    }
+    return Newest.of(result, limit);
+  }
+
+  List<BillingRecord> of(String workspace, String requestId) {
+    BillingRecord r = records.get(List.of(workspace, requestId));
+    return r == null ? List.of() : List.of(r);
+  }
+
+  Saved save() {
+    return new Saved(List.copyOf(records.values()), billed.save(), List.copyOf(batches.values()));
+  }
+
+  void restore(Saved s) {
+    s.records().forEach(r -> records.put(List.of(r.workspace(), r.requestId()), r));
+    billed.restore(s.billed());
+    s.batches().forEach(b -> batches.put(b.router(), b));
+  }
+
+  /** The last batch of an incarnation with its reply. */
+  public record Batch(Incarnation router, long number, List<Boolean> charged) {
+
+    /** Copies the list. */
+    public Batch {
+      charged = List.copyOf(charged);
+    }
+  }
+
+  /** The billing records in a snapshot; {@code billed} is the set of billed ids. */
+  public record Saved(List<BillingRecord> records, List<String> billed, List<Batch> batches) {}
+}
--- a/core/src/main/java/org/goldcrestfall/core/control/BillingRecord.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/BillingRecord.java
@@ -1,5 +1,7 @@
 package org.goldcrestfall.core.control;
 
+import static com.google.common.base.Preconditions.checkNotNull;
+
 /**
  * The one charge for a request. {@code tokens} is the charge in budget tokens; {@code promptTokens}
  * and {@code outputTokens} are what the upstream counted (0 for plain services).
@@ -13,4 +15,11 @@
     long promptTokens,
     long outputTokens,
     long tokens,
-    long atMillis) {}
+    long atMillis) {
+
+  /** Checks that the fields that identify the request are present. */
+  public BillingRecord {
+    checkNotNull(workspace, "workspace");
+    checkNotNull(requestId, "requestId");
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/control/BudgetBook.java
@@ -0,0 +1,210 @@
+package org.goldcrestfall.core.control;
+
+import static org.goldcrestfall.core.common.ErrorKind.DRAINING;
+import static org.goldcrestfall.core.common.ErrorKind.INVALID_PARAMETER;
+import static org.goldcrestfall.core.common.ErrorKind.NOT_FOUND;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.control.ControlReply.Refused;
+
+/** The budgets of all workspaces: grants, returns, transfers and closed incarnations. */
+final class BudgetBook {
+
+  private final HostBook hosts;
+  private final TreeMap<String, Budget> budgets = new TreeMap<>();
+
+  BudgetBook(HostBook hosts) {
+    this.hosts = hosts;
+  }
+
+  Budget find(String workspace) {
+    return budgets.get(workspace);
+  }
+
+  void create(String workspace) {
+    budgets.computeIfAbsent(workspace, Budget::new);
+  }
+
+  void topUp(String workspace, long tokens) {
+    Budget b = budgets.get(workspace);
+    b.paidIn += tokens;
+    b.unallotted += tokens;
+  }
+
+  Account account(Budget budget, Incarnation router) {
+    return budget.account(router, hosts.closedAt(router));
+  }
+
+  ControlReply grant(ControlCommand.GrantAllotment c) {
+    Budget b = budgets.get(c.workspace());
+    Refused refused = check(c.router(), b, c.workspace(), c.tokens());
+    if (refused != null) {
+      return refused;
+    }
+    if (!hosts.isOpen(c.router())) {
+      return closed(c.router());
+    }
+    Account a = account(b, c.router());
+    if (c.number() == a.lastGrantNumber) {
+      return new ControlReply.Granted(c.number(), a.lastGrantTokens, b.unallotted);
+    }
+    if (c.number() < a.lastGrantNumber || c.needed() > c.tokens() || c.needed() < 0) {
+      return new Refused(
+          INVALID_PARAMETER,
+          "the grant number must be above " + a.lastGrantNumber + " and needed within tokens");
+    }
+    long share = b.unallotted / Math.max(1, hosts.openCount());
+    long limit = Math.max(c.needed(), Math.min(c.tokens(), share));
+    final long tokens = Math.min(b.unallotted, limit);
+    b.change(
+        a,
+        x -> {
+          x.granted += tokens;
+          x.lastGrantNumber = c.number();
+          x.lastGrantTokens = tokens;
+          x.shortage = Math.max(0, c.needed() - tokens);
+        });
+    return new ControlReply.Granted(c.number(), tokens, b.unallotted);
+  }
+
+  ControlReply giveBack(ControlCommand.ReturnAllotment c) {
+    Budget b = budgets.get(c.workspace());
+    Refused refused = check(c.router(), b, c.workspace(), c.returnedTotal());
+    if (refused != null) {
+      return refused;
+    }
+    Account a = account(b, c.router());
+    // An operator's release already covers what a closed incarnation held.
+    if (c.returnedTotal() > a.returned && a.released == 0) {
+      b.change(a, x -> x.returned = c.returnedTotal());
+    }
+    return new ControlReply.Done();
+  }
+
+  ControlReply transfer(ControlCommand.TransferAllotment c) {
+    Budget b = budgets.get(c.workspace());
+    Refused refused = check(c.from(), b, c.workspace(), c.tokens());
+    if (refused == null) {
+      refused = check(c.to(), b, c.workspace(), c.tokens());
+    }
+    if (refused != null) {
+      return refused;
+    }
+    if (c.number() < 1 || c.from().equals(c.to())) {
+      return new Refused(INVALID_PARAMETER, "a transfer needs two routers and a number from 1");
+    }
+    Account from = account(b, c.from());
+    Account to = account(b, c.to());
+    if (from.transfers.add(c.number())) {
+      b.change(from, x -> x.transferredOut += c.tokens());
+      b.change(to, x -> x.transferredIn += c.tokens());
+      releaseRequested();
+    }
+    return new ControlReply.Done();
+  }
+
+  /** Marks the accounts of the incarnations of a host below {@code boot} as closed. */
+  void close(String host, long boot, long index) {
+    for (Budget b : budgets.values()) {
+      for (Account a : b.accounts.values()) {
+        if (a.closedAt == 0 && a.router.host().equals(host) && a.router.boot() < boot) {
+          a.closedAt = index;
+          a.shortage = 0;
+        }
+      }
+      b.dropSpentAccounts();
+    }
+  }
+
+  /** Applies the proved highest use of a closed incarnation. */
+  Refused prove(Incarnation incarnation, Map<String, Long> highestUsed) {
+    for (Map.Entry<String, Long> e : highestUsed.entrySet()) {
+      if (e.getValue() < 0 || !budgets.containsKey(e.getKey())) {
+        return new Refused(INVALID_PARAMETER, "the highest use names an unknown workspace");
+      }
+    }
+    for (Map.Entry<String, Long> e : new TreeMap<>(highestUsed).entrySet()) {
+      Budget b = budgets.get(e.getKey());
+      Account a = b.accounts.get(incarnation);
+      if (a != null && a.released == 0) {
+        b.change(a, x -> x.highestUsed = Math.max(x.highestUsed, e.getValue()));
+      }
+    }
+    return null;
+  }
+
+  /** Requests the release of the stranded tokens of an incarnation. */
+  void requestRelease(String workspace, Incarnation incarnation) {
+    Account a = budgets.get(workspace).accounts.get(incarnation);
+    if (a != null) {
+      a.releaseRequested = true;
+      releaseRequested();
+    }
+  }
+
+  /**
+   * Releases the requested accounts for which no router can still hold an unreported transfer. A
+   * router that received tokens from the closed incarnation would otherwise spend tokens that the
+   * release grants a second time.
+   */
+  void releaseRequested() {
+    for (Budget b : budgets.values()) {
+      for (Account a : b.accounts.values()) {
+        if (a.releaseRequested && a.closedAt > 0 && hosts.allReportedThrough(a.closedAt)) {
+          b.release(a);
+        }
+      }
+    }
+  }
+
+  List<Recall> recalls() {
+    List<Recall> result = new ArrayList<>();
+    for (Budget b : budgets.values()) {
+      long shortage = b.shortage();
+      if (shortage > b.unallotted) {
+        result.add(new Recall(b.workspace, b.unallotted, shortage));
+      }
+    }
+    return result;
+  }
+
+  List<AllotmentAccount> accounts(Incarnation incarnation) {
+    List<AllotmentAccount> result = new ArrayList<>();
+    for (Budget b : budgets.values()) {
+      Account a = b.accounts.get(incarnation);
+      if (a != null) {
+        result.add(a.view());
+      }
+    }
+    return result;
+  }
+
+  static Refused closed(Incarnation router) {
+    return new Refused(DRAINING, "the router incarnation " + router + " is closed");
+  }
+
+  Refused check(Incarnation router, Budget budget, String workspace, long tokens) {
+    if (!hosts.isKnown(router)) {
+      return new Refused(NOT_FOUND, "the router incarnation " + router + " is not registered");
+    }
+    if (budget == null) {
+      return new Refused(NOT_FOUND, "there is no workspace " + workspace);
+    }
+    if (tokens < 0 || tokens > IntentChecks.MAX_TOKENS) {
+      return new Refused(INVALID_PARAMETER, "tokens must be 0 to " + IntentChecks.MAX_TOKENS);
+    }
+    return null;
+  }
+
+  List<Budget.Saved> save() {
+    return budgets.values().stream().map(Budget::save).toList();
+  }
+
+  void restore(List<Budget.Saved> saved) {
+    saved.forEach(s -> budgets.put(s.workspace(), Budget.restore(s)));
+  }
+}
--- a/core/src/main/java/org/goldcrestfall/core/control/ConfigView.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/ConfigView.java
@@ -1,10 +1,13 @@
 package org.goldcrestfall.core.control;
 
+import static com.google.common.base.Preconditions.checkArgument;
 import static java.math.RoundingMode.CEILING;
 
 import com.google.common.math.LongMath;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.function.Function;
 
 /** The configuration that routers serve from, as of a revision (the index of its last change). */
 public record ConfigView(
@@ -14,8 +17,9 @@
     Map<String, PatienceClass> classes,
     Map<String, Service> services) {
 
-  /** The configuration before the first change. */
-  public static final ConfigView EMPTY = new ConfigView(0, Map.of(), Map.of(), Map.of(), Map.of());
+  /** The configuration before the first change: only the built-in patience classes. */
+  public static final ConfigView EMPTY =
+      new ConfigView(0, Map.of(), Map.of(), PatienceClass.BUILT_IN, Map.of());
 
   /** Copies the maps. Keys are indexed by their SHA-256 in hex, the others by name. */
   public ConfigView {
@@ -25,6 +29,38 @@
     services = Map.copyOf(services);
   }
 
+  /**
+   * Returns the view after {@code change}. A change that the view already contains is ignored.
+   *
+   * @throws IllegalArgumentException if the changes between this view and {@code change} are
+   *     missing
+   */
+  public ConfigView apply(ConfigChange change) {
+    if (change.revision() <= revision) {
+      return this;
+    }
+    checkArgument(
+        change.previousRevision() <= revision,
+        "the changes from revision %s to %s are missing",
+        revision,
+        change.previousRevision());
+    return new ConfigView(
+        change.revision(),
+        with(workspaces, change.workspace(), Workspace::name),
+        with(keys, change.key(), Key::sha256),
+        with(classes, change.patienceClass(), PatienceClass::name),
+        with(services, change.service(), Service::name));
+  }
+
+  private static <T> Map<String, T> with(Map<String, T> map, T value, Function<T, String> name) {
+    if (value == null) {
+      return map;
+    }
+    Map<String, T> result = new HashMap<>(map);
+    result.put(name.apply(value), value);
+    return result;
+  }
+
   /** A workspace with its limits; 0 is no limit. */
   public record Workspace(
       String name,
@@ -44,6 +80,13 @@
       int priority,
       int reservedSharePerMille) {
 
+    /** The classes that exist from the start. */
+    public static final Map<String, PatienceClass> BUILT_IN =
+        Map.of(
+            "quick", new PatienceClass("quick", 1000, 2_000, 2, 300),
+            "standard", new PatienceClass("standard", 600, 15_000, 1, 200),
+            "patient", new PatienceClass("patient", 300, 120_000, 0, 100));
+
     /** Returns the price of {@code tokens} in budget tokens, rounded up. */
     public long price(long tokens) {
       return LongMath.divide(Math.multiplyExact(tokens, pricePerMille), 1000L, CEILING);
@@ -51,5 +94,11 @@
   }
 
   /** A plain service. */
-  public record Service(String name, long priceTokens, List<String> idempotentMethods) {}
+  public record Service(String name, long priceTokens, List<String> idempotentMethods) {
+
+    /** Copies the list. */
+    public Service {
+      idempotentMethods = List.copyOf(idempotentMethods);
+    }
+  }
 }
--- a/core/src/main/java/org/goldcrestfall/core/control/ControlQuery.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/ControlQuery.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.goldcrestfall.core.common.Incarnation;
 
 /** A read of the control state; the answer is JSON of the records named at each query. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
@@ -14,7 +15,9 @@
   @JsonSubTypes.Type(value = ControlQuery.PlanOf.class, name = "plan_of"),
   @JsonSubTypes.Type(value = ControlQuery.Audit.class, name = "audit"),
   @JsonSubTypes.Type(value = ControlQuery.Hosts.class, name = "hosts"),
-  @JsonSubTypes.Type(value = ControlQuery.Orders.class, name = "orders")
+  @JsonSubTypes.Type(value = ControlQuery.Orders.class, name = "orders"),
+  @JsonSubTypes.Type(value = ControlQuery.Recalls.class, name = "recalls"),
+  @JsonSubTypes.Type(value = ControlQuery.Accounts.class, name = "accounts")
 })
 public sealed interface ControlQuery {
 
@@ -39,9 +42,15 @@
   /** The newest audit entries, of one object where {@code object} is not empty. */
   record Audit(String object, int limit) implements ControlQuery {}
 
-  /** The registered hosts with their newest incarnation. */
+  /** The registered hosts with their newest incarnation: a list of {@link HostRecord}. */
   record Hosts() implements ControlQuery {}
 
-  /** The newest orders to engines. */
+  /** The newest orders to engines: a list of {@link EngineOrder}. */
   record Orders(int limit) implements ControlQuery {}
+
+  /** The workspaces whose routers lack tokens: a list of {@link Recall}. */
+  record Recalls() implements ControlQuery {}
+
+  /** The accounts of an incarnation: a list of {@link AllotmentAccount}. */
+  record Accounts(Incarnation incarnation) implements ControlQuery {}
 }
--- a/core/src/main/java/org/goldcrestfall/core/control/ControlReply.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/ControlReply.java
@@ -24,15 +24,24 @@
   /** A plan in its current state. */
   record Planned(Plan plan) implements ControlReply {}
 
-  /** Tokens granted under a number; 0 where the budget has no unallotted rest. */
-  record Granted(long number, long tokens) implements ControlReply {}
+  /**
+   * Tokens granted under a number, 0 where the budget has no unallotted rest, and the unallotted
+   * rest after the grant.
+   */
+  record Granted(long number, long tokens, long unallotted) implements ControlReply {}
+
+  /** For each record of the batch, in order, whether this batch charged it. */
+  record Settled(long batch, List<Boolean> charged) implements ControlReply {
 
-  /** For each record of the batch, in order, whether it was charged now (or by this router). */
-  record Settled(List<Boolean> charged) implements ControlReply {}
+    /** Copies the list. */
+    public Settled {
+      charged = List.copyOf(charged);
+    }
+  }
 
   /**
-   * The booking; {@code startedNow} is true only for the router whose command created the record,
-   * on the first reply and on repeated ones.
+   * The booking; {@code startedNow} is true only for the router and attempt whose command created
+   * the record, on the first reply and on repeated ones while the outcome is {@code STARTED}.
    */
   record Booked(Booking booking, boolean startedNow) implements ControlReply {}
 
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/control/ControlSnapshot.java
@@ -0,0 +1,19 @@
+package org.goldcrestfall.core.control;
+
+import java.util.List;
+
+/** The whole control state as of a log index, in a form that Jackson serializes. */
+public record ControlSnapshot(
+    int version,
+    long index,
+    List<HostRecord> hosts,
+    List<Budget.Saved> budgets,
+    BillingBook.Saved billing,
+    BookingBook.Saved bookings,
+    ConfigBook.Saved config,
+    PlanBook.Saved plans,
+    List<EngineOrder> orders) {
+
+  /** The version written by this release. */
+  public static final int VERSION = 1;
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/control/ControlState.java
@@ -0,0 +1,220 @@
+package org.goldcrestfall.core.control;
+
+import static com.google.common.base.Preconditions.checkArgument;
+import static org.goldcrestfall.core.common.ErrorKind.INVALID_PARAMETER;
+import static org.goldcrestfall.core.common.ErrorKind.NOT_FOUND;
+
+import java.util.List;
+import java.util.regex.Pattern;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.common.RequestFailure;
+import org.goldcrestfall.core.control.ControlReply.Refused;
+
+/**
+ * The replicated state of the control group as a deterministic state machine: equal commands at
+ * equal log indexes give equal replies on every replica. It holds no clock and no randomness and is
+ * not thread-safe.
+ */
+public final class ControlState {
+
+  private static final Pattern HOST = Pattern.compile("[A-Za-z0-9][A-Za-z0-9.-]{0,62}");
+
+  private final HostBook hosts = new HostBook();
+  private final BudgetBook budgets = new BudgetBook(hosts);
+  private final BillingBook billing = new BillingBook(budgets);
+  private final BookingBook bookings = new BookingBook(budgets, hosts);
+  private final ConfigBook config = new ConfigBook();
+  private final OrderBook orders = new OrderBook();
+  private final PlanBook plans = new PlanBook(config, new IntentEffects(config, budgets, orders));
+  private long lastIndex;
+
+  /** Creates the state before the first command. */
+  public ControlState() {}
+
+  /** Returns the state that {@code snapshot} was taken of. */
+  public static ControlState restore(ControlSnapshot snapshot) {
+    checkArgument(
+        snapshot.version() == ControlSnapshot.VERSION,
+        "unknown snapshot version %s, expected %s",
+        snapshot.version(),
+        ControlSnapshot.VERSION);
+    ControlState s = new ControlState();
+    s.lastIndex = snapshot.index();
+    s.hosts.restore(snapshot.hosts());
+    s.budgets.restore(snapshot.budgets());
+    s.billing.restore(snapshot.billing());
+    s.bookings.restore(snapshot.bookings());
+    s.config.restore(snapshot.config());
+    s.plans.restore(snapshot.plans());
+    s.orders.restore(snapshot.orders());
+    return s;
+  }
+
+  /** Returns the whole state. */
+  public ControlSnapshot snapshot() {
+    return new ControlSnapshot(
+        ControlSnapshot.VERSION,
+        lastIndex,
+        hosts.list(),
+        budgets.save(),
+        billing.save(),
+        bookings.save(),
+        config.save(),
+        plans.save(),
+        orders.save());
+  }
+
+  /** Applies the command at a log index, which must be above that of the previous command. */
+  public ControlReply apply(long index, ControlCommand command) {
+    checkArgument(index > lastIndex, "index %s is not above %s", index, lastIndex);
+    lastIndex = index;
+    if (command instanceof ControlCommand.SettleRequests c) {
+      return billing.settle(c);
+    }
+    if (command instanceof ControlCommand.GrantAllotment c) {
+      return budgets.grant(c);
+    }
+    if (command instanceof ControlCommand.ReturnAllotment c) {
+      return budgets.giveBack(c);
+    }
+    if (command instanceof ControlCommand.TransferAllotment c) {
+      return budgets.transfer(c);
+    }
+    if (command instanceof ControlCommand.StartBooking c) {
+      return bookings.start(c);
+    }
+    if (command instanceof ControlCommand.FinishBooking c) {
+      return bookings.finish(c);
+    }
+    if (command instanceof ControlCommand.CreatePlan c) {
+      return plans.create(index, c);
+    }
+    if (command instanceof ControlCommand.ConfirmPlan c) {
+      return plans.confirm(index, c);
+    }
+    if (command instanceof ControlCommand.DropPlan c) {
+      return plans.drop(index, c);
+    }
+    if (command instanceof ControlCommand.FinishOrder c) {
+      return orders.finish(c);
+    }
+    if (command instanceof ControlCommand.RegisterHost c) {
+      return register(index, c);
+    }
+    if (command instanceof ControlCommand.CloseIncarnation c) {
+      return close(index, c);
+    }
+    return reportTransfers((ControlCommand.ReportTransfers) command);
+  }
+
+  private ControlReply register(long index, ControlCommand.RegisterHost c) {
+    if (!HOST.matcher(c.host()).matches() || c.nonce() == null || c.nonce().isEmpty()) {
+      return new Refused(
+          INVALID_PARAMETER, "a registration needs a nonce and a host name matching " + HOST);
+    }
+    long known = hosts.bootOf(c.host(), c.nonce());
+    if (known > 0) {
+      return new ControlReply.Registered(known);
+    }
+    long boot = hosts.register(index, c);
+    budgets.close(c.host(), boot, index);
+    bookings.close(c.host(), boot);
+    budgets.releaseRequested();
+    return new ControlReply.Registered(boot);
+  }
+
+  private ControlReply close(long index, ControlCommand.CloseIncarnation c) {
+    Incarnation i = c.incarnation();
+    if (!hosts.isKnown(i)) {
+      return new Refused(NOT_FOUND, "the router incarnation " + i + " is not registered");
+    }
+    if (hosts.isOpen(i)) {
+      hosts.close(i.host(), index);
+      budgets.close(i.host(), i.boot() + 1, index);
+      bookings.close(i.host(), i.boot() + 1);
+      budgets.releaseRequested();
+    }
+    Refused refused = budgets.prove(i, c.highestUsed());
+    return refused != null ? refused : new ControlReply.Done();
+  }
+
+  private ControlReply reportTransfers(ControlCommand.ReportTransfers c) {
+    if (!hosts.isOpen(c.router())) {
+      return BudgetBook.closed(c.router());
+    }
+    hosts.reported(c.router().host(), Math.min(c.closedThrough(), lastIndex));
+    budgets.releaseRequested();
+    return new ControlReply.Done();
+  }
+
+  /**
+   * Answers a query with the records named there.
+   *
+   * @throws RequestFailure if the object does not exist
+   */
+  public Object query(ControlQuery query) {
+    if (query instanceof ControlQuery.Workspaces) {
+      return config.view().workspaces().values().stream()
+          .sorted((a, b) -> a.name().compareTo(b.name()))
+          .toList();
+    }
+    if (query instanceof ControlQuery.Budget q) {
+      return existing(budgets.find(q.workspace()), "workspace " + q.workspace()).view();
+    }
+    if (query instanceof ControlQuery.Billing q) {
+      return billing.newest(q.workspace(), q.limit());
+    }
+    if (query instanceof ControlQuery.BillingOf q) {
+      return billing.of(q.workspace(), q.requestId());
+    }
+    if (query instanceof ControlQuery.Bookings q) {
+      return bookings.newest(q.workspace(), q.limit());
+    }
+    if (query instanceof ControlQuery.PlanOf q) {
+      return existing(plans.find(q.planId()), "plan " + q.planId());
+    }
+    if (query instanceof ControlQuery.Audit q) {
+      return plans.newestAudit(q.object(), q.limit());
+    }
+    if (query instanceof ControlQuery.Hosts) {
+      return hosts.list();
+    }
+    if (query instanceof ControlQuery.Orders q) {
+      return orders.newest(q.limit());
+    }
+    if (query instanceof ControlQuery.Recalls) {
+      return budgets.recalls();
+    }
+    return budgets.accounts(((ControlQuery.Accounts) query).incarnation());
+  }
+
+  private static <T> T existing(T value, String what) {
+    if (value == null) {
+      throw new RequestFailure(NOT_FOUND, "there is no " + what);
+    }
+    return value;
+  }
+
+  /** Returns the configuration in force. */
+  public ConfigView view() {
+    return config.view();
+  }
+
+  /**
+   * Returns the configuration changes after a revision in order, null if they are no longer all
+   * kept and the whole view is needed.
+   */
+  public List<ConfigChange> changesAfter(long revision) {
+    return config.changesAfter(revision);
+  }
+
+  /** Returns the queued orders to engines in order of their fencing numbers. */
+  public List<EngineOrder> queuedOrders() {
+    return orders.queued();
+  }
+
+  /** Returns the index of the last command applied, 0 before the first. */
+  public long lastIndex() {
+    return lastIndex;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/control/IntentEffects.java
@@ -0,0 +1,174 @@
+package org.goldcrestfall.core.control;
+
+import java.util.List;
+import java.util.stream.Collectors;
+import org.goldcrestfall.core.control.ConfigView.Key;
+import org.goldcrestfall.core.control.ConfigView.PatienceClass;
+import org.goldcrestfall.core.control.ConfigView.Service;
+import org.goldcrestfall.core.control.ConfigView.Workspace;
+
+/**
+ * What an intent changes: the preview for the plan and its execution. All texts consist of checked
+ * names, numbers and enum constants, so they need no JSON escapes.
+ */
+final class IntentEffects {
+
+  private final ConfigBook config;
+  private final BudgetBook budgets;
+  private final OrderBook orders;
+
+  IntentEffects(ConfigBook config, BudgetBook budgets, OrderBook orders) {
+    this.config = config;
+    this.budgets = budgets;
+    this.orders = orders;
+  }
+
+  void check(Intent intent) {
+    IntentChecks.check(intent, config, budgets, orders);
+  }
+
+  /** Returns the change that the intent would make now. */
+  Change preview(Intent intent) {
+    if (intent instanceof Intent.CreateWorkspace i) {
+      Workspace before = config.view().workspaces().get(i.name());
+      return change("workspace/" + i.name(), text(before), text(workspace(i, before)));
+    }
+    if (intent instanceof Intent.SetLimits i) {
+      Workspace before = config.view().workspaces().get(i.workspace());
+      return change("workspace/" + i.workspace(), text(before), text(limits(i, before)));
+    }
+    if (intent instanceof Intent.CreateKey i) {
+      return change(keyPath(i.workspace(), i.keyId()), null, text(key(i)));
+    }
+    if (intent instanceof Intent.RevokeKey i) {
+      Key before = config.key(i.workspace(), i.keyId());
+      return change(keyPath(i.workspace(), i.keyId()), text(before), text(revoked(before)));
+    }
+    if (intent instanceof Intent.TopUpBudget i) {
+      long paidIn = budgets.find(i.workspace()).paidIn;
+      return change("budget/" + i.workspace(), paidIn(paidIn), paidIn(paidIn + i.tokens()));
+    }
+    if (intent instanceof Intent.SetPatienceClass i) {
+      PatienceClass before = config.view().classes().get(i.name());
+      return change("class/" + i.name(), text(before), text(patienceClass(i)));
+    }
+    if (intent instanceof Intent.DefineService i) {
+      Service before = config.view().services().get(i.name());
+      return change("service/" + i.name(), text(before), text(service(i)));
+    }
+    if (intent instanceof Intent.ReleaseStranded i) {
+      return change(
+          "stranded/" + i.workspace() + "/" + i.incarnation(),
+          "{\"releaseRequested\":false}",
+          "{\"releaseRequested\":true}");
+    }
+    Intent.OrderEngine i = (Intent.OrderEngine) intent;
+    String order = String.format("{\"action\":\"%s\",\"model\":\"%s\"}", i.action(), i.model());
+    return change("engine/" + i.engine(), null, order);
+  }
+
+  /** Executes a checked intent at a log index. */
+  void execute(Intent intent, long index, long atMillis) {
+    if (intent instanceof Intent.CreateWorkspace i) {
+      config.put(index, workspace(i, config.view().workspaces().get(i.name())));
+      budgets.create(i.name());
+    } else if (intent instanceof Intent.SetLimits i) {
+      config.put(index, limits(i, config.view().workspaces().get(i.workspace())));
+    } else if (intent instanceof Intent.CreateKey i) {
+      config.put(index, key(i));
+    } else if (intent instanceof Intent.RevokeKey i) {
+      config.put(index, revoked(config.key(i.workspace(), i.keyId())));
+    } else if (intent instanceof Intent.TopUpBudget i) {
+      budgets.topUp(i.workspace(), i.tokens());
+    } else if (intent instanceof Intent.SetPatienceClass i) {
+      config.put(index, patienceClass(i));
+    } else if (intent instanceof Intent.DefineService i) {
+      config.put(index, service(i));
+    } else if (intent instanceof Intent.ReleaseStranded i) {
+      budgets.requestRelease(i.workspace(), i.incarnation());
+    } else if (intent instanceof Intent.OrderEngine i) {
+      orders.queue(index, i, atMillis);
+    }
+  }
+
+  private Change change(String object, String before, String after) {
+    return new Change(object, before, after, config.revision(object));
+  }
+
+  private static Workspace workspace(Intent.CreateWorkspace i, Workspace before) {
+    return before == null
+        ? new Workspace(i.name(), i.defaultClass(), i.tradeoff(), 0, 0)
+        : new Workspace(
+            i.name(),
+            i.defaultClass(),
+            i.tradeoff(),
+            before.requestsPerSecond(),
+            before.concurrentRequests());
+  }
+
+  private static Workspace limits(Intent.SetLimits i, Workspace before) {
+    return new Workspace(
+        before.name(),
+        before.defaultClass(),
+        before.tradeoff(),
+        i.requestsPerSecond(),
+        i.concurrentRequests());
+  }
+
+  private static Key key(Intent.CreateKey i) {
+    return new Key(i.keySha256(), i.keyId(), i.workspace(), false);
+  }
+
+  private static Key revoked(Key k) {
+    return new Key(k.sha256(), k.keyId(), k.workspace(), true);
+  }
+
+  private static PatienceClass patienceClass(Intent.SetPatienceClass i) {
+    return new PatienceClass(
+        i.name(), i.pricePerMille(), i.deadlineMillis(), i.priority(), i.reservedSharePerMille());
+  }
+
+  private static Service service(Intent.DefineService i) {
+    return new Service(i.name(), i.priceTokens(), i.idempotentMethods());
+  }
+
+  private static String keyPath(String workspace, String keyId) {
+    return "key/" + workspace + "/" + keyId;
+  }
+
+  private static String paidIn(long tokens) {
+    return String.format("{\"paidIn\":%d}", tokens);
+  }
+
+  private static String text(Workspace w) {
+    return w == null
+        ? null
+        : String.format(
+            "{\"defaultClass\":\"%s\",\"tradeoff\":\"%s\",\"requestsPerSecond\":%d,"
+                + "\"concurrentRequests\":%d}",
+            w.defaultClass(), w.tradeoff(), w.requestsPerSecond(), w.concurrentRequests());
+  }
+
+  private static String text(Key k) {
+    return String.format("{\"sha256\":\"%s\",\"revoked\":%b}", k.sha256(), k.revoked());
+  }
+
+  private static String text(PatienceClass c) {
+    return c == null
+        ? null
+        : String.format(
+            "{\"pricePerMille\":%d,\"deadlineMillis\":%d,\"priority\":%d,"
+                + "\"reservedSharePerMille\":%d}",
+            c.pricePerMille(), c.deadlineMillis(), c.priority(), c.reservedSharePerMille());
+  }
+
+  private static String text(Service s) {
+    if (s == null) {
+      return null;
+    }
+    List<String> methods = s.idempotentMethods();
+    return String.format(
+        "{\"priceTokens\":%d,\"idempotentMethods\":[%s]}",
+        s.priceTokens(), methods.stream().map(m -> '"' + m + '"').collect(Collectors.joining(",")));
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/control/ControlStateTest.java
@@ -0,0 +1,214 @@
+package org.goldcrestfall.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Example;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.control.ControlCommand.FinishBooking;
+import org.goldcrestfall.core.control.ControlCommand.GrantAllotment;
+import org.goldcrestfall.core.control.ControlCommand.SettleRequests;
+import org.goldcrestfall.core.control.ControlCommand.StartBooking;
+import org.goldcrestfall.core.control.ControlReply.Booked;
+import org.goldcrestfall.core.control.ControlReply.Refused;
+
+/** Guards the rules of the control state one by one; faults are covered by the properties. */
+final class ControlStateTest {
+
+  private final Group group = new Group();
+
+  @Example
+  void resentOperationReturnsTheFirstAnswerAndDoesNothing() {
+    group.workspace("hulls", 0);
+    ControlCommand plan =
+        new ControlCommand.CreatePlan("o1", "ana", new Intent.TopUpBudget("hulls", 50), 5);
+    ControlReply first = group.apply(plan);
+    assertThat(group.apply(plan)).isEqualTo(first);
+    long id = ((ControlReply.Planned) first).plan().id();
+    ControlCommand confirm = new ControlCommand.ConfirmPlan("o2", "ana", id, 6);
+    ControlReply confirmed = group.apply(confirm);
+    group.restart();
+    assertThat(group.apply(confirm)).isEqualTo(confirmed);
+    assertThat(group.apply(plan)).isEqualTo(first);
+    assertThat(group.budget("hulls").paidIn()).isEqualTo(50);
+    assertRefused(
+        group.apply(new ControlCommand.DropPlan("o2", "ana", id, 7)), ErrorKind.OPERATION_REUSED);
+    assertRefused(
+        group.apply(new ControlCommand.DropPlan("o3", "ana", id, 7)), ErrorKind.PLAN_CLOSED);
+  }
+
+  @Example
+  void ofTwoPlansFromTheSameRevisionOneWins() {
+    group.workspace("hulls", 0);
+    long first = plan("a", "ana", new Intent.TopUpBudget("hulls", 50));
+    long second = plan("b", "ben", new Intent.TopUpBudget("hulls", 70));
+    group.apply(new ControlCommand.ConfirmPlan("c", "ben", second, 0));
+    ControlReply lost = group.apply(new ControlCommand.ConfirmPlan("d", "ana", first, 0));
+    assertRefused(lost, ErrorKind.PLAN_CONFLICT);
+    assertThat(((Refused) lost).message()).contains("budget/hulls").contains("70");
+    assertThat(group.budget("hulls").paidIn()).isEqualTo(70);
+  }
+
+  private long plan(String operation, String operator, Intent intent) {
+    ControlReply reply = group.apply(new ControlCommand.CreatePlan(operation, operator, intent, 0));
+    return ((ControlReply.Planned) reply).plan().id();
+  }
+
+  @Example
+  void invalidIntentsAreRefusedWithTheirKind() {
+    group.workspace("hulls", 10);
+    assertRefused(
+        group.confirm(new Intent.CreateWorkspace("Hulls", "quick", Tradeoff.STRICT)),
+        ErrorKind.INVALID_PARAMETER);
+    assertRefused(
+        group.confirm(new Intent.CreateWorkspace("a", "slow", Tradeoff.STRICT)),
+        ErrorKind.NOT_FOUND);
+    assertRefused(group.confirm(new Intent.TopUpBudget("hulls", 0)), ErrorKind.INVALID_PARAMETER);
+    assertRefused(
+        group.confirm(new Intent.TopUpBudget("hulls", Long.MAX_VALUE)),
+        ErrorKind.INVALID_PARAMETER);
+    assertRefused(group.confirm(new Intent.TopUpBudget("kits", 1)), ErrorKind.NOT_FOUND);
+    assertRefused(group.confirm(new Intent.RevokeKey("hulls", "k1")), ErrorKind.NOT_FOUND);
+    assertRefused(
+        group.confirm(new Intent.DefineService("stock", 1, List.of("get"))),
+        ErrorKind.INVALID_PARAMETER);
+    assertRefused(
+        group.confirm(new Intent.OrderEngine("e1", "load model", "m")),
+        ErrorKind.INVALID_PARAMETER);
+    assertRefused(
+        group.confirm(new Intent.ReleaseStranded("hulls", new Incarnation("a1", 1))),
+        ErrorKind.NOT_FOUND);
+  }
+
+  @Example
+  void grantNumberIsGrantedOnceAndOnlyFromTheUnallottedRest() {
+    group.workspace("hulls", 100);
+    Incarnation router = group.register("a1", "n1");
+    ControlReply first = group.apply(new GrantAllotment(router, "hulls", 1, 60, 60));
+    assertThat(first).isEqualTo(new ControlReply.Granted(1, 60, 40));
+    group.restart();
+    assertThat(group.apply(new GrantAllotment(router, "hulls", 1, 60, 60))).isEqualTo(first);
+    assertThat(group.apply(new GrantAllotment(router, "hulls", 2, 60, 60)))
+        .isEqualTo(new ControlReply.Granted(2, 40, 0));
+    assertThat(group.state().query(new ControlQuery.Recalls()))
+        .isEqualTo(List.of(new Recall("hulls", 0, 20)));
+    assertThat(group.register("a1", "n1")).isEqualTo(router);
+    group.register("a1", "n2");
+    assertThat(group.budget("hulls").stranded()).isEqualTo(100);
+    assertRefused(group.apply(new GrantAllotment(router, "hulls", 3, 1, 1)), ErrorKind.DRAINING);
+    group.apply(new ControlCommand.CloseIncarnation(router, Map.of("hulls", 30L), 0));
+    assertThat(group.budget("hulls").stranded()).isEqualTo(30);
+    assertThat(group.budget("hulls").unallotted()).isEqualTo(70);
+  }
+
+  @Example
+  void requestIsBilledOnceAndTheSecondRouterIsNotCharged() {
+    group.workspace("hulls", 100);
+    Incarnation a = group.register("a1", "n");
+    Incarnation b = group.register("b1", "n");
+    group.apply(new GrantAllotment(a, "hulls", 1, 50, 50));
+    group.apply(new GrantAllotment(b, "hulls", 1, 50, 50));
+    BillingRecord record = record("r1", 20);
+    SettleRequests batch = new SettleRequests(a, 1, List.of(record));
+    assertThat(group.apply(batch)).isEqualTo(new ControlReply.Settled(1, List.of(true)));
+    group.restart();
+    assertThat(group.apply(batch)).isEqualTo(new ControlReply.Settled(1, List.of(true)));
+    assertThat(group.apply(new SettleRequests(b, 1, List.of(record, record("r2", 5)))))
+        .isEqualTo(new ControlReply.Settled(1, List.of(false, true)));
+    assertThat(group.budget("hulls").settled()).isEqualTo(25);
+    assertThat(group.state().query(new ControlQuery.BillingOf("hulls", "r1")))
+        .isEqualTo(List.of(record));
+  }
+
+  private static BillingRecord record(String id, long tokens) {
+    return new BillingRecord("hulls", id, "h", "m", "quick", 1, tokens, tokens, 0);
+  }
+
+  @Example
+  void lateStartOfAnAttemptThatDidNotRunDoesNotStartTheBookingAgain() {
+    group.workspace("hulls", 100);
+    Incarnation a = group.register("a1", "n");
+    group.apply(new GrantAllotment(a, "hulls", 1, 50, 50));
+    StartBooking start = new StartBooking(a, 1, "hulls", "b1", "h", "cedar", 10, 0);
+    assertThat(((Booked) group.apply(start)).startedNow()).isTrue();
+    assertThat(((Booked) group.apply(start)).startedNow()).isTrue();
+    group.apply(finish(a, 1, BookingOutcome.NOT_RUN));
+    assertThat(group.budget("hulls").settled()).isZero();
+    group.restart();
+    assertThat(((Booked) group.apply(start)).startedNow()).isFalse();
+    StartBooking again = new StartBooking(a, 2, "hulls", "b1", "h", "cedar", 10, 0);
+    assertThat(((Booked) group.apply(again)).startedNow()).isTrue();
+    // A late duplicate of the first outcome must not refund or reopen the second attempt.
+    assertRefused(group.apply(finish(a, 1, BookingOutcome.NOT_RUN)), ErrorKind.NOT_FOUND);
+    group.register("a1", "n2");
+    StartBooking other =
+        new StartBooking(new Incarnation("a1", 2), 1, "hulls", "b1", "h", "cedar", 10, 0);
+    assertThat(((Booked) group.apply(other)).booking().outcome()).isEqualTo(BookingOutcome.UNKNOWN);
+    assertThat(group.budget("hulls").settled()).isEqualTo(10);
+  }
+
+  private static FinishBooking finish(Incarnation router, long attempt, BookingOutcome outcome) {
+    return new FinishBooking(router, attempt, "hulls", "b1", outcome, 200, null, null, 0);
+  }
+
+  @Example
+  void strandedTokensAreReleasedOnlyAfterEveryRouterHasReportedItsTransfers() {
+    group.workspace("hulls", 100);
+    Incarnation dead = group.register("a1", "n");
+    final Incarnation live = group.register("b1", "n");
+    group.apply(new GrantAllotment(dead, "hulls", 1, 60, 60));
+    group.apply(new ControlCommand.CloseIncarnation(dead, Map.of(), 0));
+    group.confirm(new Intent.ReleaseStranded("hulls", dead));
+    assertThat(group.budget("hulls").unallotted()).isEqualTo(40);
+    group.apply(new ControlCommand.TransferAllotment(dead, live, "hulls", 1, 25));
+    group.restart();
+    group.apply(new ControlCommand.ReportTransfers(live, group.state().lastIndex()));
+    assertThat(group.budget("hulls").unallotted()).isEqualTo(75);
+    assertThat(group.budget("hulls").outstanding()).isEqualTo(25);
+  }
+
+  @Example
+  void configurationChangesLeadFromAnyKeptRevisionToTheView() {
+    group.workspace("hulls", 5);
+    final long revision = group.state().view().revision();
+    ConfigView old = group.state().view();
+    group.confirm(new Intent.CreateKey("hulls", "k1", "ab".repeat(32)));
+    group.confirm(new Intent.RevokeKey("hulls", "k1"));
+    group.confirm(new Intent.SetLimits("hulls", 5, 6));
+    group.restart();
+    ConfigView view = old;
+    for (ConfigChange c : group.state().changesAfter(revision)) {
+      view = view.apply(c).apply(c);
+    }
+    assertThat(view).isEqualTo(group.state().view());
+    for (int i = 0; i <= ConfigBook.MAX_CHANGES; i++) {
+      group.confirm(new Intent.SetLimits("hulls", i + 1, 6));
+    }
+    assertThat(group.state().changesAfter(revision)).isNull();
+    ConfigChange last = group.state().changesAfter(view.revision() + 2).get(5);
+    assertThatThrownBy(() -> old.apply(last)).hasMessageContaining("missing");
+  }
+
+  @Example
+  void orderIsQueuedUnderTheIndexOfItsConfirmationAndFinishedOnce() {
+    group.confirm(new Intent.OrderEngine("e1", "load_model", "cedar-7b"));
+    long fencing = group.state().lastIndex();
+    assertThat(group.state().queuedOrders().get(0).fencing()).isEqualTo(fencing);
+    group.apply(new ControlCommand.FinishOrder(fencing, true, "loaded", 9));
+    group.apply(new ControlCommand.FinishOrder(fencing, false, "late", 10));
+    group.restart();
+    assertThat(group.state().queuedOrders()).isEmpty();
+    assertThat(
+            ((EngineOrder) ((List<?>) group.state().query(new ControlQuery.Orders(1))).get(0))
+                .state())
+        .isEqualTo(EngineOrder.State.DONE);
+  }
+
+  private static void assertRefused(ControlReply reply, ErrorKind kind) {
+    assertThat(reply).isInstanceOf(Refused.class);
+    assertThat(((Refused) reply).kind()).isEqualTo(kind);
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/control/Group.java
@@ -0,0 +1,68 @@
+package org.goldcrestfall.core.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import org.goldcrestfall.core.common.Incarnation;
+
+/** A control state whose commands, replies and snapshots all pass through JSON, for tests. */
+public final class Group {
+
+  private static final ObjectMapper JSON = new ObjectMapper();
+
+  private ControlState state = new ControlState();
+  private int operations;
+
+  /** Applies a command at the next index. */
+  public ControlReply apply(ControlCommand command) {
+    ControlCommand copy = copy(command, ControlCommand.class);
+    return copy(state.apply(state.lastIndex() + 1, copy), ControlReply.class);
+  }
+
+  /** Replaces the state by one restored from its snapshot. */
+  public void restart() {
+    state = ControlState.restore(copy(state.snapshot(), ControlSnapshot.class));
+  }
+
+  /** Returns the state. */
+  public ControlState state() {
+    return state;
+  }
+
+  /** Plans and confirms an intent. */
+  public ControlReply confirm(Intent intent) {
+    operations++;
+    ControlReply reply =
+        apply(new ControlCommand.CreatePlan("plan-" + operations, "ana", intent, 1));
+    return reply instanceof ControlReply.Planned p
+        ? apply(new ControlCommand.ConfirmPlan("ok-" + operations, "ana", p.plan().id(), 2))
+        : reply;
+  }
+
+  /** Creates a workspace with a budget. */
+  public void workspace(String name, long tokens) {
+    confirm(new Intent.CreateWorkspace(name, "standard", Tradeoff.AVAILABLE));
+    if (tokens > 0) {
+      confirm(new Intent.TopUpBudget(name, tokens));
+    }
+  }
+
+  /** Registers the next incarnation of a host. */
+  public Incarnation register(String host, String nonce) {
+    ControlReply reply =
+        apply(new ControlCommand.RegisterHost(host, "zone-a", "127.0.0.1:9080", nonce, 0));
+    return new Incarnation(host, ((ControlReply.Registered) reply).boot());
+  }
+
+  /** Returns the budget of a workspace. */
+  public BudgetView budget(String workspace) {
+    return (BudgetView) state.query(new ControlQuery.Budget(workspace));
+  }
+
+  private static <T> T copy(T value, Class<T> type) {
+    try {
+      return JSON.readValue(JSON.writeValueAsString(value), type);
+    } catch (JsonProcessingException e) {
+      throw new IllegalStateException(e);
+    }
+  }
+}
