--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/package-info.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/package-info.java
@@ -1,2 +1,2 @@
-/** The daemon's side of the control group: its members, and the client that routers use. */
+/** The control group: runs the replicated log over disk and network, and gives access to it. */
 package org.goldcrestfall.daemon.control;
