--- a/core/src/main/java/org/goldcrestfall/core/common/ErrorKind.java
+++ b/core/src/main/java/org/goldcrestfall/core/common/ErrorKind.java
@@ -33,6 +33,8 @@
   UPSTREAM_FAILED(502, RAN, true),
   DEADLINE_EXCEEDED(504, RAN, true),
   BOOKING_IN_PROGRESS(409, UNKNOWN_OUTCOME, true),
+  /** This attempt did not run, but an earlier one under the same id may have. */
+  BOOKING_UNDECIDED(409, UNKNOWN_OUTCOME, true),
   OUTCOME_UNKNOWN(409, UNKNOWN_OUTCOME, false),
   PLAN_CONFLICT(409, NOT_RUN, false),
   PLAN_CLOSED(409, NOT_RUN, false),
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/Reservation.java
+++ /dev/null
@@ -1,4 +0,0 @@
-package org.goldcrestfall.daemon.budget;
-
-/** Budget tokens set aside for one request; {@code id} is unique within the process. */
-public record Reservation(String workspace, long id, long tokens) {}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlGroup.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlGroup.java
@@ -109,8 +109,7 @@
       long seed)
       throws IOException {
     MemberFiles files = MemberFiles.open(settings, disk);
-    ControlGroup group =
-        new ControlGroup(settings, files, machine, transport, clock, seed);
+    ControlGroup group = new ControlGroup(settings, files, machine, transport, clock, seed);
     new ControlHandlers(group, settings, transport).register();
     new Formation(group, settings, transport).start();
     return group;
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/AdmissionFilter.java
@@ -0,0 +1,192 @@
+package org.goldcrestfall.daemon.filter;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.DoubleSupplier;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.goldcrestfall.core.admission.AdmissionQueue;
+import org.goldcrestfall.core.admission.QueuedRequest;
+import org.goldcrestfall.core.admission.Refusal;
+import org.goldcrestfall.core.admission.Shares;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.common.RequestFailure;
+import org.goldcrestfall.core.control.ConfigView;
+import org.goldcrestfall.daemon.metrics.DaemonMetrics;
+
+/**
+ * Queues chat completions until an engine slot is free for them, by deadline within reserved
+ * shares. Service calls pass at once. Thread-safe.
+ */
+public final class AdmissionFilter implements RequestFilter {
+
+  /** Expected time from dispatch to the first token of an idle engine. */
+  private static final long LEAD_MILLIS = 50;
+
+  /** Expected time that one output token holds a slot, before own measurements. */
+  private static final double HOLD_MILLIS_PER_TOKEN = 10;
+
+  private static final int REQUEST_OVERHEAD_BYTES = 1_024;
+
+  private final AdmissionQueue queue;
+  private final DoubleSupplier slots;
+  private final MillisClock clock;
+  private final DaemonMetrics metrics;
+  private final Executor executor;
+  private final Map<String, CompletableFuture<Void>> waiting = new HashMap<>();
+  private final AtomicLong ids = new AtomicLong();
+  private long sharesRevision = -1;
+
+  /**
+   * Creates the filter.
+   *
+   * @param slots number of engine slots that this router may use now
+   * @param executor runs requests that leave the queue
+   */
+  public AdmissionFilter(
+      AdmissionQueue queue,
+      DoubleSupplier slots,
+      MillisClock clock,
+      DaemonMetrics metrics,
+      Executor executor) {
+    this.queue = queue;
+    this.slots = slots;
+    this.clock = clock;
+    this.metrics = metrics;
+    this.executor = executor;
+  }
+
+  @Override
+  public CompletionStage<HttpResponse> apply(RequestContext c, Next next) {
+    if (!c.isChat()) {
+      return next.proceed(c);
+    }
+    String id = String.valueOf(ids.incrementAndGet());
+    CompletableFuture<Void> turn = new CompletableFuture<>();
+    double now = slots.getAsDouble();
+    Outcome o;
+    synchronized (this) {
+      updateShares(c.config());
+      waiting.put(id, turn);
+      List<Refusal> refusals = queue.offer(request(id, c), now, clock.nowMillis());
+      o = collect(refusals, now);
+    }
+    run(o);
+    c.callerGone().thenRun(() -> cancel(id));
+    c.onEnd(() -> complete(id));
+    return turn.thenComposeAsync(v -> next.proceed(c), executor);
+  }
+
+  /** Refuses what has become too late and starts what has room. Call about every 100 ms. */
+  public void tick() {
+    double now = slots.getAsDouble();
+    Outcome o;
+    synchronized (this) {
+      o = collect(queue.expire(now, clock.nowMillis()), now);
+    }
+    run(o);
+  }
+
+  /** Returns the number of waiting requests. */
+  public synchronized int size() {
+    return queue.size();
+  }
+
+  private void complete(String id) {
+    double now = slots.getAsDouble();
+    Outcome o;
+    synchronized (this) {
+      queue.complete(id);
+      o = collect(List.of(), now);
+    }
+    run(o);
+  }
+
+  private void cancel(String id) {
+    CompletableFuture<Void> turn;
+    synchronized (this) {
+      if (!queue.cancel(id)) {
+        return;
+      }
+      turn = waiting.remove(id);
+    }
+    turn.completeExceptionally(
+        new RequestFailure(ErrorKind.OVERLOADED, "The caller closed the connection."));
+  }
+
+  private record Outcome(List<CompletableFuture<Void>> started, List<Refused> refused) {}
+
+  private record Refused(CompletableFuture<Void> turn, Refusal refusal) {}
+
+  /** Collects under the lock what {@link #run} completes without it. */
+  private Outcome collect(List<Refusal> refusals, double usable) {
+    List<Refused> refused = new ArrayList<>();
+    for (Refusal r : refusals) {
+      refused.add(new Refused(waiting.remove(r.request().id()), r));
+    }
+    List<CompletableFuture<Void>> started = new ArrayList<>();
+    Optional<QueuedRequest> q = queue.poll(usable, clock.nowMillis());
+    while (q.isPresent()) {
+      started.add(waiting.remove(q.get().id()));
+      q = queue.poll(usable, clock.nowMillis());
+    }
+    return new Outcome(started, refused);
+  }
+
+  private void run(Outcome o) {
+    for (Refused r : o.refused()) {
+      ErrorKind k = r.refusal().kind();
+      metrics.refusal(k.code(), r.refusal().request().patienceClass());
+      r.turn().completeExceptionally(new RequestFailure(k, message(k)));
+    }
+    o.started().forEach(t -> t.complete(null));
+  }
+
+  private static String message(ErrorKind k) {
+    return k == ErrorKind.DEADLINE_UNREACHABLE
+        ? "The request cannot be started in time for its patience class."
+        : "The router is overloaded.";
+  }
+
+  private static QueuedRequest request(String id, RequestContext c) {
+    long hold = (long) Math.ceil(c.chat().maxTokens() * HOLD_MILLIS_PER_TOKEN);
+    return new QueuedRequest(
+        id,
+        c.patience().name(),
+        c.patience().pricePerMille(),
+        c.patience().priority(),
+        c.deadlineMillis(),
+        LEAD_MILLIS,
+        hold,
+        c.bodyBytes() + REQUEST_OVERHEAD_BYTES);
+  }
+
+  private void updateShares(ConfigView v) {
+    if (v.revision() == sharesRevision) {
+      return;
+    }
+    sharesRevision = v.revision();
+    queue.setShares(shares(v));
+  }
+
+  /** Returns the reserved shares of a configuration, scaled down if they exceed the capacity. */
+  public static Shares shares(ConfigView v) {
+    int sum = 0;
+    for (ConfigView.PatienceClass p : v.classes().values()) {
+      sum += p.reservedSharePerMille();
+    }
+    Map<String, Integer> out = new HashMap<>();
+    for (ConfigView.PatienceClass p : v.classes().values()) {
+      int share = p.reservedSharePerMille();
+      out.put(p.name(), sum <= 1000 ? share : (int) (share * 1000L / sum));
+    }
+    return new Shares(out);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/ChatFilter.java
@@ -0,0 +1,239 @@
+package org.goldcrestfall.daemon.filter;
+
+import com.google.common.flogger.FluentLogger;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeoutException;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.japi.pf.PFBuilder;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.common.RequestFailure;
+import org.goldcrestfall.core.control.BillingRecord;
+import org.goldcrestfall.daemon.answer.AnswerRecorder;
+import org.goldcrestfall.daemon.budget.Budgets;
+import org.goldcrestfall.daemon.http.Answers;
+import org.goldcrestfall.daemon.http.Json;
+import org.goldcrestfall.daemon.metrics.DaemonMetrics;
+import org.goldcrestfall.daemon.upstream.ChatRenderer;
+import org.goldcrestfall.daemon.upstream.ChatStream;
+
+/**
+ * Answers chat completions from engines, streamed or whole, and settles what was passed on. The
+ * answer begins with the first token, so that a failure before it has its own HTTP status.
+ */
+public final class ChatFilter implements RequestFilter {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Longest time that a caller may refuse to read before its stream is cancelled. */
+  static final Duration SLOW_CALLER_TIMEOUT = Duration.ofSeconds(60);
+
+  private final ActorSystem<?> system;
+  private final ChatStream.Parts parts;
+  private final Budgets budgets;
+  private final AnswerRecorder answers;
+  private final DaemonMetrics metrics;
+  private final MillisClock utc;
+
+  /** Creates the filter. */
+  public ChatFilter(
+      ActorSystem<?> system,
+      ChatStream.Parts parts,
+      Budgets budgets,
+      AnswerRecorder answers,
+      DaemonMetrics metrics,
+      MillisClock utc) {
+    this.system = system;
+    this.parts = parts;
+    this.budgets = budgets;
+    this.answers = answers;
+    this.metrics = metrics;
+    this.utc = utc;
+  }
+
+  @Override
+  public CompletionStage<HttpResponse> apply(RequestContext c, Next next) {
+    if (!c.isChat()) {
+      return next.proceed(c);
+    }
+    ChatStream stream =
+        new ChatStream(c.chat(), c.requestId(), c.patience().priority(), c.deadlineMillis(), parts);
+    ChatRenderer renderer = new ChatRenderer(c.requestId(), c.chat().model());
+    Source<List<String>, NotUsed> tokens =
+        stream
+            .tokens()
+            .map(t -> record(c, t))
+            .watchTermination(
+                (m, done) -> {
+                  done.whenComplete((d, e) -> settle(c, stream));
+                  return m;
+                });
+    return c.chat().stream()
+        ? streamed(c, stream, renderer, tokens)
+        : whole(c, stream, renderer, tokens);
+  }
+
+  private List<String> record(RequestContext c, List<String> tokens) {
+    answers.append(c.workspace().name(), c.requestId(), tokens);
+    metrics.tokens(tokens.size());
+    return tokens;
+  }
+
+  private CompletionStage<HttpResponse> streamed(
+      RequestContext c,
+      ChatStream stream,
+      ChatRenderer renderer,
+      Source<List<String>, NotUsed> tokens) {
+    Source<ByteString, NotUsed> events =
+        tokens
+            .map(renderer::tokens)
+            .concat(Source.lazySource(() -> Source.single(end(stream, renderer))));
+    return first(c, events)
+        .thenApply(
+            p -> {
+              PFBuilder<Throwable, ByteString> failures = new PFBuilder<>();
+              Source<ByteString, NotUsed> body =
+                  Source.from(p.first())
+                      .concat(p.second())
+                      .recover(failures.matchAny(e -> failureEvent(c, e)).build())
+                      .backpressureTimeout(SLOW_CALLER_TIMEOUT);
+              return answer(c)
+                  .withEntity(
+                      HttpEntities.createChunked(
+                          ContentTypes.create(MediaTypes.TEXT_EVENT_STREAM), body));
+            });
+  }
+
+  private CompletionStage<HttpResponse> whole(
+      RequestContext c,
+      ChatStream stream,
+      ChatRenderer renderer,
+      Source<List<String>, NotUsed> tokens) {
+    return first(c, untilCallerLeaves(c, tokens))
+        .thenCompose(
+            p ->
+                Source.from(p.first())
+                    .concat(p.second())
+                    .runFold(new StringBuilder(), ChatFilter::append, system))
+        .thenApply(
+            text ->
+                answer(c)
+                    .withEntity(
+                        HttpEntities.create(
+                            ContentTypes.APPLICATION_JSON,
+                            Json.bytes(
+                                renderer.whole(
+                                    text.toString(),
+                                    stream.finishReason(),
+                                    stream.promptTokens(),
+                                    stream.outputTokens())))));
+  }
+
+  /** A whole answer has no stream whose cancellation would tell that the caller has gone. */
+  private <T> Source<T, NotUsed> untilCallerLeaves(RequestContext c, Source<T, NotUsed> source) {
+    Source<T, NotUsed> gone =
+        Source.completionStage(
+            c.callerGone()
+                .thenApply(
+                    v -> {
+                      throw new RequestFailure(
+                          ErrorKind.INTERNAL, "The caller closed the connection.");
+                    }));
+    // The second source never emits; it only fails the merged stream.
+    return source.merge(gone, true);
+  }
+
+  /** Runs the source until its first element or the deadline. */
+  private <T> CompletionStage<Pair<List<T>, Source<T, NotUsed>>> first(
+      RequestContext c, Source<T, NotUsed> source) {
+    long now = parts.clock().nowMillis();
+    long remaining = Math.max(1, c.deadlineMillis() - now);
+    return source
+        .initialTimeout(Duration.ofMillis(remaining))
+        .prefixAndTail(1)
+        .runWith(Sink.head(), system)
+        .handle(
+            (p, e) -> {
+              if (e != null) {
+                throw tooLate(e);
+              }
+              long firstMillis = parts.clock().nowMillis() - c.arrivedMillis();
+              metrics.firstToken(c.patience().name(), firstMillis);
+              return p;
+            });
+  }
+
+  private static RuntimeException tooLate(Throwable e) {
+    return Answers.unwrap(e) instanceof TimeoutException
+        ? new RequestFailure(
+            ErrorKind.DEADLINE_EXCEEDED, "No token arrived by the deadline of the patience class.")
+        : Answers.toFailure(e);
+  }
+
+  private static ByteString end(ChatStream s, ChatRenderer renderer) {
+    return renderer.end(s.finishReason(), s.promptTokens(), s.outputTokens());
+  }
+
+  private static StringBuilder append(StringBuilder b, List<String> tokens) {
+    tokens.forEach(b::append);
+    return b;
+  }
+
+  private ByteString failureEvent(RequestContext c, Throwable e) {
+    RequestFailure f = Answers.toFailure(e);
+    logger.atInfo().log("http: stream of request %s broke off: %s", c.requestId(), f.kind());
+    return ChatRenderer.failure(Answers.body(f, c.requestId()));
+  }
+
+  private static HttpResponse answer(RequestContext c) {
+    return HttpResponse.create()
+        .addHeader(RawHeader.create(Answers.REQUEST_ID_HEADER, c.requestId()));
+  }
+
+  private void settle(RequestContext c, ChatStream s) {
+    String workspace = c.workspace().name();
+    if (s.outputTokens() == 0) {
+      budgets.release(c.reservation());
+      answers.abandon(workspace, c.requestId());
+      c.end();
+      return;
+    }
+    long price = c.patience().price(s.promptTokens() + s.outputTokens());
+    if (price > c.reservation().tokens()) {
+      metrics.usageAboveReservation();
+      price = c.reservation().tokens();
+    }
+    budgets.settle(
+        c.reservation(),
+        new BillingRecord(
+            workspace,
+            c.requestId(),
+            c.bodyHash(),
+            c.chat().model(),
+            c.patience().name(),
+            s.promptTokens(),
+            s.outputTokens(),
+            price,
+            utc.nowMillis()));
+    metrics.billed(workspace, price);
+    if (s.isWhole()) {
+      answers.finish(
+          workspace, c.requestId(), s.finishReason(), s.promptTokens(), s.outputTokens());
+    } else {
+      answers.abandon(workspace, c.requestId());
+    }
+    c.end();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/ReplayFilter.java
@@ -0,0 +1,164 @@
+package org.goldcrestfall.daemon.filter;
+
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import org.apache.pekko.NotUsed;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.MediaTypes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.apache.pekko.japi.Pair;
+import org.apache.pekko.stream.javadsl.Sink;
+import org.apache.pekko.stream.javadsl.Source;
+import org.apache.pekko.util.ByteString;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.RequestFailure;
+import org.goldcrestfall.core.stream.AnswerKey;
+import org.goldcrestfall.core.stream.AnswerLookup;
+import org.goldcrestfall.daemon.answer.AnswerPart;
+import org.goldcrestfall.daemon.answer.AnswerService;
+import org.goldcrestfall.daemon.answer.RemoteAnswers;
+import org.goldcrestfall.daemon.http.Answers;
+import org.goldcrestfall.daemon.http.Json;
+import org.goldcrestfall.daemon.upstream.ChatRenderer;
+
+/**
+ * Finds the answer to a retried chat completion, on this router or another one: a running answer is
+ * joined from its start, a finished one replayed, and another body under the id refused. Bookings
+ * have their record in the log, idempotent calls are simply repeated.
+ */
+public final class ReplayFilter implements RequestFilter {
+
+  private final ActorSystem<?> system;
+  private final AnswerService answers;
+  private final RemoteAnswers remote;
+
+  /** Creates the filter. */
+  public ReplayFilter(ActorSystem<?> system, AnswerService answers, RemoteAnswers remote) {
+    this.system = system;
+    this.answers = answers;
+    this.remote = remote;
+  }
+
+  /** Reads an answer part by part. */
+  private interface Reader {
+    CompletionStage<AnswerPart> next(long offset);
+  }
+
+  @Override
+  public CompletionStage<HttpResponse> apply(RequestContext c, Next next) {
+    if (!c.isChat() || !c.isIdFromCaller()) {
+      return next.proceed(c);
+    }
+    AnswerKey key = new AnswerKey(c.workspace().name(), c.requestId());
+    AnswerLookup found = answers.begin(key, c.bodyHash());
+    return switch (found) {
+      case JOIN, REPLAY -> replay(c, offset -> answers.next(key, offset));
+      case REUSED -> throw reused();
+      case BUSY ->
+          throw new RequestFailure(
+              ErrorKind.OVERLOADED, "The request is running, and its text is not kept.");
+      case FULL -> next.proceed(c);
+      case STARTED -> started(c, key, next);
+    };
+  }
+
+  private CompletionStage<HttpResponse> started(RequestContext c, AnswerKey key, Next next) {
+    return remote
+        .find(key, c.bodyHash())
+        .thenCompose(address -> remoteOrProceed(c, key, address, next))
+        .whenComplete(
+            (r, e) -> {
+              if (e != null) {
+                answers.abandon(key.workspace(), key.requestId());
+              }
+            });
+  }
+
+  private CompletionStage<HttpResponse> remoteOrProceed(
+      RequestContext c, AnswerKey key, Optional<String> address, Next next) {
+    if (address.isEmpty()) {
+      remote.register(key, c.bodyHash());
+      return next.proceed(c);
+    }
+    return replay(c, offset -> remote.fetch(address.get(), key, c.bodyHash(), offset))
+        .handle(
+            (r, e) -> {
+              if (e == null) {
+                answers.abandon(key.workspace(), key.requestId());
+                return CompletableFuture.completedFuture(r);
+              }
+              // The other router has died or dropped the answer, so it is produced here.
+              remote.register(key, c.bodyHash());
+              return next.proceed(c);
+            })
+        .thenCompose(f -> f);
+  }
+
+  private CompletionStage<HttpResponse> replay(RequestContext c, Reader reader) {
+    Source<AnswerPart, NotUsed> parts =
+        Source.unfoldAsync(
+            0L,
+            offset ->
+                offset < 0
+                    ? CompletableFuture.completedFuture(Optional.empty())
+                    : reader.next(offset).thenApply(p -> Optional.of(Pair.create(after(p), p))));
+    return parts
+        .prefixAndTail(1)
+        .runWith(Sink.head(), system)
+        .thenCompose(p -> answer(c, Source.from(p.first()).concat(p.second())));
+  }
+
+  private static long after(AnswerPart p) {
+    return p.isLast() ? -1 : p.offset() + p.tokens().size();
+  }
+
+  private CompletionStage<HttpResponse> answer(RequestContext c, Source<AnswerPart, NotUsed> s) {
+    ChatRenderer renderer = new ChatRenderer(c.requestId(), c.chat().model());
+    HttpResponse head =
+        HttpResponse.create()
+            .addHeader(RawHeader.create(Answers.REQUEST_ID_HEADER, c.requestId()))
+            .addHeader(RawHeader.create("Goldcrestfall-Replayed", "true"));
+    if (c.chat().stream()) {
+      Source<ByteString, NotUsed> events = s.map(p -> render(renderer, p));
+      return CompletableFuture.completedFuture(
+          head.withEntity(
+              HttpEntities.createChunked(
+                  ContentTypes.create(MediaTypes.TEXT_EVENT_STREAM),
+                  events.backpressureTimeout(ChatFilter.SLOW_CALLER_TIMEOUT))));
+    }
+    return s.runWith(Sink.seq(), system).thenApply(parts -> whole(head, renderer, parts));
+  }
+
+  private static ByteString render(ChatRenderer renderer, AnswerPart p) {
+    ByteString tokens = renderer.tokens(p.tokens());
+    return p.isLast()
+        ? tokens.concat(renderer.end(p.finishReason(), p.promptTokens(), p.outputTokens()))
+        : tokens;
+  }
+
+  private static HttpResponse whole(
+      HttpResponse head, ChatRenderer renderer, List<AnswerPart> parts) {
+    StringBuilder text = new StringBuilder();
+    parts.forEach(p -> p.tokens().forEach(text::append));
+    AnswerPart last = parts.get(parts.size() - 1);
+    return head.withEntity(
+        HttpEntities.create(
+            ContentTypes.APPLICATION_JSON,
+            Json.bytes(
+                renderer.whole(
+                    text.toString(),
+                    last.finishReason(),
+                    last.promptTokens(),
+                    last.outputTokens()))));
+  }
+
+  private static RequestFailure reused() {
+    return new RequestFailure(
+        ErrorKind.REQUEST_ID_REUSED, "The request id was used with another body.");
+  }
+}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/RequestContext.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/RequestContext.java
@@ -2,10 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.goldcrestfall.core.control.ConfigView;
 import org.goldcrestfall.daemon.budget.ReservedTokens;
-import org.goldcrestfall.daemon.http.CallerConnection;
 import org.goldcrestfall.daemon.upstream.ChatCall;
 
 /**
@@ -15,7 +15,7 @@
 public final class RequestContext {
 
   private final HttpRequest http;
-  private final CallerConnection connection;
+  private final CompletableFuture<Void> callerGone;
   private final long arrivedMillis;
   private ConfigView config;
   private ConfigView.Workspace workspace;
@@ -33,9 +33,9 @@
   private boolean ended;
 
   /** Creates the context of a request that arrived at {@code arrivedMillis}. */
-  public RequestContext(HttpRequest http, CallerConnection connection, long arrivedMillis) {
+  public RequestContext(HttpRequest http, CompletableFuture<Void> callerGone, long arrivedMillis) {
     this.http = http;
-    this.connection = connection;
+    this.callerGone = callerGone;
     this.arrivedMillis = arrivedMillis;
   }
 
@@ -66,9 +66,9 @@
     return http;
   }
 
-  /** Returns the caller's connection. */
-  public CallerConnection connection() {
-    return connection;
+  /** Returns what completes when the caller closes the connection. */
+  public CompletableFuture<Void> callerGone() {
+    return callerGone;
   }
 
   /** Returns the time of arrival in milliseconds of the daemon's clock. */
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/ServiceFilter.java
@@ -0,0 +1,169 @@
+package org.goldcrestfall.daemon.filter;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpMethods;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.StatusCodes;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.common.RequestFailure;
+import org.goldcrestfall.core.control.BillingRecord;
+import org.goldcrestfall.core.retry.Failure;
+import org.goldcrestfall.core.retry.RetryDecision;
+import org.goldcrestfall.daemon.budget.Budgets;
+import org.goldcrestfall.daemon.http.Answers;
+import org.goldcrestfall.daemon.upstream.EngineClient;
+import org.goldcrestfall.daemon.upstream.EngineSelector;
+import org.goldcrestfall.daemon.upstream.NotSentException;
+import org.goldcrestfall.daemon.upstream.RetryGate;
+import org.goldcrestfall.daemon.upstream.ServiceAnswer;
+import org.goldcrestfall.daemon.upstream.ServiceClient;
+import org.goldcrestfall.daemon.upstream.UpstreamPool;
+
+/** Answers idempotent calls of plain services, with retries; bookings go to the next filter. */
+public final class ServiceFilter implements RequestFilter {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Longest time of one call of a plain service. */
+  static final long CALL_MILLIS = 10_000;
+
+  private static final int FIRST_SERVER_ERROR = 500;
+
+  private final UpstreamPool pool;
+  private final ServiceClient client;
+  private final RetryGate retries;
+  private final Budgets budgets;
+  private final MillisClock clock;
+  private final MillisClock utc;
+
+  /** Creates the filter. */
+  public ServiceFilter(
+      UpstreamPool pool,
+      ServiceClient client,
+      RetryGate retries,
+      Budgets budgets,
+      MillisClock clock,
+      MillisClock utc) {
+    this.pool = pool;
+    this.client = client;
+    this.retries = retries;
+    this.budgets = budgets;
+    this.clock = clock;
+    this.utc = utc;
+  }
+
+  @Override
+  public CompletionStage<HttpResponse> apply(RequestContext c, Next next) {
+    if (!c.service().isIdempotent()) {
+      return next.proceed(c);
+    }
+    retries.onRequest();
+    return attempt(c, 1, new HashSet<>())
+        .whenComplete(
+            (a, e) -> {
+              if (e == null) {
+                budgets.settle(c.reservation(), record(c, utc.nowMillis()));
+              } else {
+                budgets.release(c.reservation());
+              }
+              c.end();
+            })
+        .thenApply(a -> answer(c, a));
+  }
+
+  private CompletionStage<ServiceAnswer> attempt(RequestContext c, int number, Set<String> failed) {
+    Optional<EngineSelector.Selection> s = pool.selectService(c.service().service().name(), failed);
+    if (s.isEmpty()) {
+      throw noInstance(c);
+    }
+    EngineSelector.Selection instance = s.get();
+    long remaining = Math.max(1, c.deadlineMillis() - clock.nowMillis());
+    return client
+        .call(instance.address(), request(c, instance, remaining), Math.min(remaining, CALL_MILLIS))
+        .handle(
+            (a, e) -> {
+              if (e == null && a.status() < FIRST_SERVER_ERROR) {
+                instance.finished();
+                return CompletableFuture.completedFuture(a);
+              }
+              instance.failed();
+              failed.add(instance.name());
+              return retry(c, number, failed, a, e);
+            })
+        .thenCompose(f -> f);
+  }
+
+  private CompletionStage<ServiceAnswer> retry(
+      RequestContext c, int number, Set<String> failed, ServiceAnswer a, Throwable e) {
+    boolean sent = !(e != null && Answers.unwrap(e) instanceof NotSentException);
+    RetryDecision d = retries.decide(new Failure(sent, true, number, c.deadlineMillis(), 0));
+    logger.atFine().log("http: call %s of request %s failed: %s", number, c.requestId(), d);
+    if (!d.retry()) {
+      if (a != null) {
+        return CompletableFuture.completedFuture(a);
+      }
+      throw sent
+          ? new RequestFailure(ErrorKind.UPSTREAM_FAILED, "The service did not answer.")
+          : noInstance(c);
+    }
+    Executor later =
+        CompletableFuture.delayedExecutor(d.delayMillis(), TimeUnit.MILLISECONDS, Runnable::run);
+    return CompletableFuture.supplyAsync(() -> attempt(c, number + 1, failed), later)
+        .thenCompose(f -> f);
+  }
+
+  /** Returns the request to send to an instance of the service. */
+  static HttpRequest request(
+      RequestContext c, EngineSelector.Selection instance, long remainingMillis) {
+    ServiceCall call = c.service();
+    HttpRequest r =
+        HttpRequest.create("http://" + instance.address() + call.pathAndQuery())
+            .withMethod(HttpMethods.lookup(call.method()).orElseThrow())
+            .addHeader(RawHeader.create(RequestIdFilter.ID_HEADER, c.requestId()))
+            .addHeader(RawHeader.create("Goldcrestfall-Workspace", c.workspace().name()))
+            .addHeader(
+                RawHeader.create(EngineClient.DEADLINE_HEADER, String.valueOf(remainingMillis)));
+    return call.body().length == 0
+        ? r
+        : r.withEntity(HttpEntities.create(ContentTypes.parse(call.contentType()), call.body()));
+  }
+
+  /** Returns the answer to the caller. */
+  static HttpResponse answer(RequestContext c, ServiceAnswer a) {
+    return HttpResponse.create()
+        .withStatus(StatusCodes.get(a.status()))
+        .withEntity(HttpEntities.create(ContentTypes.parse(a.contentType()), a.body()))
+        .addHeader(RawHeader.create(Answers.REQUEST_ID_HEADER, c.requestId()));
+  }
+
+  static RequestFailure noInstance(RequestContext c) {
+    return new RequestFailure(
+        ErrorKind.NO_UPSTREAM,
+        "No instance of service " + c.service().service().name() + " is available.");
+  }
+
+  private static BillingRecord record(RequestContext c, long atMillis) {
+    return new BillingRecord(
+        c.workspace().name(),
+        c.requestId(),
+        c.bodyHash(),
+        c.service().service().name(),
+        c.patience().name(),
+        0,
+        0,
+        c.reservation().tokens(),
+        atMillis);
+  }
+}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/http/Answers.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/http/Answers.java
@@ -40,10 +40,7 @@
 
   private static HttpResponse failure(RequestFailure f, String requestId) {
     ErrorKind k = f.kind();
-    ErrorBody body =
-        new ErrorBody(
-            new ErrorDetail(k.code(), f.getMessage(), k.run().code(), k.retry(), requestId));
-    HttpResponse r = json(k.status(), body);
+    HttpResponse r = json(k.status(), body(f, requestId));
     if (!requestId.isEmpty()) {
       r = r.addHeader(RawHeader.create(REQUEST_ID_HEADER, requestId));
     }
@@ -53,6 +50,13 @@
     return r;
   }
 
+  /** Returns the error body of a failure. */
+  public static ErrorBody body(RequestFailure f, String requestId) {
+    ErrorKind k = f.kind();
+    return new ErrorBody(
+        new ErrorDetail(k.code(), f.getMessage(), k.run().code(), k.retry(), requestId));
+  }
+
   /** Returns the failure behind {@code t}; anything unexpected is {@link ErrorKind#INTERNAL}. */
   public static RequestFailure toFailure(Throwable t) {
     Throwable c = unwrap(t);
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/http/CallerEndpoint.java
@@ -0,0 +1,101 @@
+package org.goldcrestfall.daemon.http;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.apache.pekko.actor.typed.ActorSystem;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.common.RequestFailure;
+import org.goldcrestfall.daemon.filter.FilterChain;
+import org.goldcrestfall.daemon.filter.ParseFilter;
+import org.goldcrestfall.daemon.filter.RequestContext;
+import org.goldcrestfall.daemon.metrics.DaemonMetrics;
+
+/** The callers' API: runs each request through the filter chain. */
+public final class CallerEndpoint implements Endpoint {
+
+  /** Header with the time since the configuration was last checked, when that is over the bound. */
+  public static final String CONFIG_AGE_HEADER = "Goldcrestfall-Config-Age";
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String MODELS_PATH = "/v1/models";
+
+  private final ActorSystem<?> system;
+  private final FilterChain chain;
+  private final Supplier<List<String>> models;
+  private final LongSupplier staleMillis;
+  private final MillisClock clock;
+  private final DaemonMetrics metrics;
+
+  /**
+   * Creates the endpoint.
+   *
+   * @param models models that engines serve now
+   * @param staleMillis time since the last configuration check if it is over the bound, otherwise 0
+   */
+  public CallerEndpoint(
+      ActorSystem<?> system,
+      FilterChain chain,
+      Supplier<List<String>> models,
+      LongSupplier staleMillis,
+      MillisClock clock,
+      DaemonMetrics metrics) {
+    this.system = system;
+    this.chain = chain;
+    this.models = models;
+    this.staleMillis = staleMillis;
+    this.clock = clock;
+    this.metrics = metrics;
+  }
+
+  @Override
+  public boolean accepts(String path) {
+    return path.equals(ParseFilter.CHAT_PATH)
+        || path.equals(MODELS_PATH)
+        || path.startsWith(ParseFilter.SERVICE_PREFIX);
+  }
+
+  @Override
+  public CompletionStage<HttpResponse> handle(
+      HttpRequest request, CompletableFuture<Void> callerGone) {
+    if (request.getUri().path().equals(MODELS_PATH)) {
+      request.discardEntityBytes(system);
+      List<Map<String, String>> data =
+          models.get().stream().map(m -> Map.of("id", m, "object", "model")).toList();
+      return CompletableFuture.completedFuture(
+          Answers.json(200, Map.of("object", "list", "data", data)));
+    }
+    RequestContext c = new RequestContext(request, callerGone, clock.nowMillis());
+    return chain.run(c).handle((r, e) -> finish(c, r, e));
+  }
+
+  private HttpResponse finish(RequestContext c, HttpResponse r, Throwable e) {
+    HttpResponse out = r;
+    if (e != null) {
+      c.end();
+      RequestFailure f = Answers.toFailure(e);
+      metrics.request(f.kind().code());
+      if (f.kind() == ErrorKind.INTERNAL) {
+        logger.atWarning().withCause(Answers.unwrap(e)).log(
+            "http: request %s failed with an internal error", c.requestId());
+      }
+      // An unread body would block the connection.
+      c.http().discardEntityBytes(system);
+      out = Answers.failure(f, c.requestId());
+    } else {
+      metrics.request("ok");
+    }
+    long stale = staleMillis.getAsLong();
+    return stale == 0
+        ? out
+        : out.addHeader(RawHeader.create(CONFIG_AGE_HEADER, String.valueOf(stale)));
+  }
+}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/http/Endpoint.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/http/Endpoint.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.daemon.http;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
@@ -13,7 +14,7 @@
   /**
    * Answers a request. A failure is mapped to an answer by the server.
    *
-   * @param connection the caller's connection, which tells when the caller has gone
+   * @param callerGone completes when the caller closes the connection
    */
-  CompletionStage<HttpResponse> handle(HttpRequest request, CallerConnection connection);
+  CompletionStage<HttpResponse> handle(HttpRequest request, CompletableFuture<Void> callerGone);
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/http/HttpFront.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/http/HttpFront.java
@@ -85,7 +85,7 @@
     try {
       for (Endpoint e : endpoints) {
         if (e.accepts(path)) {
-          return e.handle(request, connection);
+          return e.handle(request, connection.nextRequest());
         }
       }
       request.discardEntityBytes(system);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/http/OperatorEndpoint.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/http/OperatorEndpoint.java
@@ -61,7 +61,8 @@
   }
 
   @Override
-  public CompletionStage<HttpResponse> handle(HttpRequest request, CallerConnection connection) {
+  public CompletionStage<HttpResponse> handle(
+      HttpRequest request, CompletableFuture<Void> callerGone) {
     String operator;
     try {
       operator = authenticate(request);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/http/PlatformEndpoint.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/http/PlatformEndpoint.java
@@ -32,7 +32,8 @@
   }
 
   @Override
-  public CompletionStage<HttpResponse> handle(HttpRequest request, CallerConnection connection) {
+  public CompletionStage<HttpResponse> handle(
+      HttpRequest request, CompletableFuture<Void> callerGone) {
     return CompletableFuture.completedFuture(answer(request.getUri().path()));
   }
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
@@ -99,6 +99,11 @@
     return promptTokens < 0 ? call.promptBound() : Math.min(promptTokens, call.promptBound());
   }
 
+  /** Returns whether the whole answer was passed on. */
+  public boolean isWhole() {
+    return assembler.complete();
+  }
+
   /** Returns why the answer ended. */
   public String finishReason() {
     return finishReason;
@@ -167,8 +172,7 @@
       check(assembler.onEvent(new StreamEvent.End(attempt, id(e), assembler.passedOn())));
       return;
     }
-    StreamResult r =
-        assembler.onEvent(new StreamEvent.Token(attempt, id(e), e.offset(), e.text()));
+    StreamResult r = assembler.onEvent(new StreamEvent.Token(attempt, id(e), e.offset(), e.text()));
     check(r);
     if (r == StreamResult.PASS) {
       if (assembler.passedOn() == 1) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/ControlGroupTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/ControlGroupTest.java
@@ -89,8 +89,7 @@
 
   private boolean isVoterAlone(String host) {
     ControlStatus status = hosts.group(host).status();
-    List<Member> own =
-        status.members().all().stream().filter(m -> m.host().equals(host)).toList();
+    List<Member> own = status.members().all().stream().filter(m -> m.host().equals(host)).toList();
     return own.size() == 1 && own.get(0).id().equals(status.memberId()) && status.isVoter();
   }
 }
