--- a/core/src/main/java/org/goldcrestfall/core/consensus/Follower.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Follower.java
@@ -20,7 +20,6 @@
   }
 
   void append(Message.AppendRequest m) {
-    Log log = replica.log;
     if (m.term() < replica.term()) {
       replica.sendAfterSync(reply(m, false, replica.commit + 1), true);
       return;
@@ -28,7 +27,8 @@
     heard(m.term(), m.from());
     lastRound = Math.max(lastRound, m.round());
     boolean matches =
-        m.previousIndex() <= replica.commit || log.termAt(m.previousIndex()) == m.previousTerm();
+        m.previousIndex() <= replica.commit
+            || replica.log.termAt(m.previousIndex()) == m.previousTerm();
     if (!matches) {
       replica.sendAfterSync(reply(m, false, replica.commit + 1), true);
       return;
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Leader.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Leader.java
@@ -188,7 +188,7 @@
           }
           if (!replicate(id, p)) {
             long previous = replica.log.termAt(p.match) < 0 ? 0 : p.match;
-            append(id, previous, List.of());
+            sendEntries(id, previous, List.of());
           }
         });
     acknowledge();
@@ -207,14 +207,14 @@
       return false;
     }
     List<Entry> entries = replica.log.from(p.next, MAX_APPEND_BYTES);
-    append(id, p.next - 1, entries);
+    sendEntries(id, p.next - 1, entries);
     p.inFlight = p.next + entries.size() - 1;
     p.next = p.inFlight + 1;
     p.sentAt = replica.now;
     return true;
   }
 
-  private void append(String id, long previous, List<Entry> entries) {
+  private void sendEntries(String id, long previous, List<Entry> entries) {
     long previousTerm = previous == 0 ? 0 : replica.log.termAt(previous);
     replica.send(
         new Message.AppendRequest(
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Log.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Log.java
@@ -92,7 +92,7 @@
       return;
     }
     baseTerm = termAt(base);
-    Members inForce = membersAt(base);
+    final Members inForce = membersAt(base);
     entries.subList(0, (int) (base - baseIndex)).clear();
     baseIndex = base;
     members.headMap(base, true).clear();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlGroup.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlGroup.java
@@ -340,9 +340,12 @@
             storage.fault(),
             running);
     if (before != null && differs(before, status)) {
-      logger.atInfo().log(
-          "consensus: %s is %s in term %d, leader %s",
-          status.memberId(), status.role(), status.term(), status.leaderAddress());
+      if (before.role() != status.role()
+          || !before.leaderAddress().equals(status.leaderAddress())) {
+        logger.atInfo().log(
+            "consensus: %s is %s in term %d; leader: %s",
+            status.memberId(), status.role(), status.term(), status.leaderAddress());
+      }
       listeners.forEach(l -> l.accept(status));
     }
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/storage/SegmentedLog.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/storage/SegmentedLog.java
@@ -118,7 +118,7 @@
       roll(entries.get(0).index());
     }
     ByteBuffer batch = Records.encode(entries);
-    int size = batch.remaining();
+    final int size = batch.remaining();
     dirty = true;
     file.write(offset, batch);
     file.sync();
--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/ControlGroupTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/ControlGroupTest.java
@@ -75,7 +75,7 @@
       sent.add("c" + i);
     }
     for (String host : List.of("h0", "h1", "h2")) {
-      String oldId = hosts.group(host).status().memberId();
+      final String oldId = hosts.group(host).status().memberId();
       hosts.stop(host);
       hosts.loseDisk(host);
       hosts.start(host);
