--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/admission/SlotTimes.java
@@ -0,0 +1,43 @@
+package org.goldcrestfall.core.admission;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Learns how long the requests of a patience class take to the first token and to the end, as
+ * moving averages. Not thread-safe.
+ */
+public final class SlotTimes {
+
+  private static final double WEIGHT = 0.05;
+  private static final long DEFAULT_LEAD_MILLIS = 200;
+  private static final long DEFAULT_HOLD_MILLIS = 2_000;
+
+  private record Times(double lead, double hold) {}
+
+  private final Map<String, Times> classes = new HashMap<>();
+
+  /** Records a finished request with the times from dispatch to first token and to the end. */
+  public void onCompletion(String patienceClass, long leadMillis, long holdMillis) {
+    classes.merge(
+        patienceClass,
+        new Times(leadMillis, holdMillis),
+        (o, n) -> new Times(average(o.lead, n.lead), average(o.hold, n.hold)));
+  }
+
+  /** Returns the expected time from dispatch to the first token. */
+  public long leadMillis(String patienceClass) {
+    Times t = classes.get(patienceClass);
+    return t == null ? DEFAULT_LEAD_MILLIS : (long) Math.ceil(t.lead);
+  }
+
+  /** Returns the expected time from dispatch to the end, at least 1. */
+  public long holdMillis(String patienceClass) {
+    Times t = classes.get(patienceClass);
+    return t == null ? DEFAULT_HOLD_MILLIS : Math.max(1, (long) Math.ceil(t.hold));
+  }
+
+  private static double average(double old, double observed) {
+    return old + WEIGHT * (observed - old);
+  }
+}
