--- /dev/null
+++ b/cli/src/main/java/org/goldcrestfall/cli/CommandFailure.java
@@ -0,0 +1,16 @@
+package org.goldcrestfall.cli;
+
+/** Ends a command with an exit code and a one-line message. It carries no stack trace. */
+final class CommandFailure extends RuntimeException {
+
+  private final ExitCode exitCode;
+
+  CommandFailure(ExitCode exitCode, String message) {
+    super(message, null, false, false);
+    this.exitCode = exitCode;
+  }
+
+  ExitCode exitCode() {
+    return exitCode;
+  }
+}
--- a/standin/src/main/java/org/goldcrestfall/standin/StandinMain.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/StandinMain.java
@@ -76,7 +76,7 @@
   private int runEngine() throws Exception {
     ActorSystem system = ActorSystem.create("standin");
     ScheduledThreadPoolExecutor timers = newTimers();
-    MillisClock clock = MillisClock.system();
+    MillisClock clock = MillisClock.monotonic();
     UpstreamProcess.run(
         engine.upstream,
         system,
@@ -94,7 +94,7 @@
         service.upstream,
         system,
         timers,
-        MillisClock.system(),
+        MillisClock.monotonic(),
         new ServiceServer(service, timers, Materializer.createMaterializer(system)),
         System.out);
     return -1;
--- a/standin/src/main/java/org/goldcrestfall/standin/answer/Prompt.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/answer/Prompt.java
@@ -3,18 +3,12 @@
 import com.google.common.base.Utf8;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 
-/** The messages of a request, with the token counts and prefix ids that the engine uses. */
+/** The messages of a request, with the token count and the cacheable text that the engine uses. */
 public record Prompt(List<Message> messages) {
 
   private static final int BYTES_PER_TOKEN = 4;
-  private static final int PREFIX_ID_HEX_DIGITS = 16;
-
-  /** A prefix of the prompt: id of its first messages, and the tokens in them. */
-  public record Prefix(String id, int tokens) {}
 
   /** Copies the list. */
   public Prompt {
@@ -35,21 +29,13 @@
     return tokens;
   }
 
-  /**
-   * Returns the prefixes that end at a message boundary, shortest first. The id is the first 16 hex
-   * digits of the SHA-256 over role, tab, content and line feed of each message.
-   */
-  public List<Prefix> prefixes() {
-    List<Prefix> prefixes = new ArrayList<>(messages.size());
-    StringBuilder canonical = new StringBuilder();
-    int tokens = 0;
+  /** Returns the text whose blocks the prefix cache holds: role and content, each on a line. */
+  public String text() {
+    StringBuilder text = new StringBuilder();
     for (Message message : messages) {
-      append(canonical, message);
-      tokens += tokensOf(message);
-      String hash = Hashing.sha256().hashString(canonical, StandardCharsets.UTF_8).toString();
-      prefixes.add(new Prefix(hash.substring(0, PREFIX_ID_HEX_DIGITS), tokens));
+      text.append(message.role()).append('\n').append(message.content()).append('\n');
     }
-    return prefixes;
+    return text.toString();
   }
 
   /** Returns a hash of every role and content, in order. */
@@ -65,9 +51,4 @@
   private static int tokensOf(Message message) {
     return (Utf8.encodedLength(message.content()) + BYTES_PER_TOKEN - 1) / BYTES_PER_TOKEN;
   }
-
-  private static void append(StringBuilder canonical, Message message) {
-    canonical.append(message.role()).append('\t');
-    canonical.append(message.content()).append('\n');
-  }
 }
--- a/standin/src/main/java/org/goldcrestfall/standin/engine/Engine.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/engine/Engine.java
@@ -138,9 +138,10 @@
   }
 
   private CompletionStage<Void> prefill(ChatRequest request) {
-    int cached = cache.use(request.prompt());
+    int tokens = request.prompt().tokens();
+    int cached = Math.min(tokens, cache.use(request.model(), request.prompt().text()));
     stats.cachedPromptTokens.addAndGet(cached);
-    int uncached = request.prompt().tokens() + request.resumeFrom() - cached;
+    int uncached = tokens + request.resumeFrom() - cached;
     return delay((long) (uncached * options.prefillMicros));
   }
 
