Add bookings on the router and properties of the escrow

A booking needs a router side that sends a call at most once and keeps its reservation in step with the control group. BookingLedger does this. The control state now remembers the answered attempts of each open incarnation: a start that was answered otherwise than with a start has freed its reservation, and a late copy of it would charge tokens that the router spends again.

It holds at every step that the parts of the budget add up, that delivered and still spendable tokens stay within what was paid in, that each request has one charge, and that a booking runs at most once.

--- a/core/src/main/java/org/goldcrestfall/core/budget/BlockWatermark.java
+++ b/core/src/main/java/org/goldcrestfall/core/budget/BlockWatermark.java
@@ -36,6 +36,11 @@
     return total <= mark;
   }
 
+  /** Returns the durable watermark of a workspace, 0 where none was written. */
+  public long durable(String workspace) {
+    return durable.getOrDefault(workspace, 0L);
+  }
+
   /** Returns the watermarks to write now, all workspaces included, if any has to be raised. */
   public Optional<Map<String, Long>> nextWrite() {
     TreeMap<String, Long> next = new TreeMap<>(durable);
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/budget/BookingLedger.java
@@ -0,0 +1,181 @@
+package org.goldcrestfall.core.budget;
+
+import static com.google.common.base.Preconditions.checkState;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.control.BookingOutcome;
+import org.goldcrestfall.core.control.ControlCommand.FinishBooking;
+import org.goldcrestfall.core.control.ControlCommand.StartBooking;
+import org.goldcrestfall.core.control.ControlReply;
+
+/**
+ * The booking attempts of a router. The call may be sent only after {@link Decision#SEND}, which is
+ * given at most once an attempt; commands are resent until they are answered. The tokens are
+ * reserved before the start, charged when the start is committed, and refunded when the outcome
+ * {@code NOT_RUN} is committed. Not thread-safe.
+ */
+public final class BookingLedger {
+
+  private final AllotmentLedger ledger;
+  private final TreeMap<Long, Attempt> attempts = new TreeMap<>();
+  private final Map<List<String>, Long> running = new HashMap<>();
+  private long lastAttempt;
+
+  /** Creates an empty ledger that charges {@code ledger}. */
+  public BookingLedger(AllotmentLedger ledger) {
+    this.ledger = ledger;
+  }
+
+  /** What the router does after the reply to a start. */
+  public enum Decision {
+    /** Send the call, once, and then finish the attempt. */
+    SEND,
+    /** Answer from the booking in the reply; the call was not sent by this attempt. */
+    ANSWER,
+    /** Answer with the refusal; the call was not sent by this attempt. */
+    REFUSE,
+    /** The reply is a repeated one; do nothing. */
+    IGNORE
+  }
+
+  /** Returns whether an attempt of the booking is running on this router. */
+  public boolean isRunning(String workspace, String requestId) {
+    return running.containsKey(List.of(workspace, requestId));
+  }
+
+  /**
+   * Begins an attempt and returns its start command, to be resent until it is answered. The tokens
+   * must be reserved in the ledger; they belong to the attempt from now on.
+   */
+  public StartBooking start(
+      String workspace,
+      String requestId,
+      String bodyHash,
+      String service,
+      long tokens,
+      long atMillis) {
+    checkState(!isRunning(workspace, requestId), "booking %s is running", requestId);
+    lastAttempt++;
+    StartBooking command =
+        new StartBooking(
+            ledger.self(), lastAttempt, workspace, requestId, bodyHash, service, tokens, atMillis);
+    attempts.put(lastAttempt, new Attempt(command));
+    running.put(List.of(workspace, requestId), lastAttempt);
+    return command;
+  }
+
+  /** Returns the starts without a reply, to be resent. */
+  public List<StartBooking> unanswered() {
+    List<StartBooking> result = new ArrayList<>();
+    for (Attempt a : attempts.values()) {
+      if (!a.answered) {
+        result.add(a.start);
+      }
+    }
+    return result;
+  }
+
+  /** Applies the reply to the start of an attempt. */
+  public Decision started(long attempt, ControlReply reply) {
+    Attempt a = attempts.get(attempt);
+    if (a == null || a.answered) {
+      return Decision.IGNORE;
+    }
+    a.answered = true;
+    StartBooking s = a.start;
+    if (!(reply instanceof ControlReply.Booked booked)) {
+      if (((ControlReply.Refused) reply).kind() == ErrorKind.OUTCOME_UNKNOWN) {
+        // The dropped record may be that of this attempt, so the tokens count as charged.
+        ledger.bookingCharged(s.workspace(), s.tokens());
+      } else {
+        ledger.release(s.workspace(), s.tokens());
+      }
+      remove(a);
+      return Decision.REFUSE;
+    }
+    if (booked.startedNow()) {
+      ledger.bookingCharged(s.workspace(), s.tokens());
+      return Decision.SEND;
+    }
+    boolean own =
+        booked.booking().router().equals(ledger.self()) && booked.booking().attempt() == attempt;
+    if (own) {
+      // The start was committed and the incarnation closed before the reply; nothing was sent.
+      ledger.bookingCharged(s.workspace(), s.tokens());
+      finish(attempt, BookingOutcome.NOT_RUN, 0, null, null, s.atMillis());
+    } else {
+      ledger.release(s.workspace(), s.tokens());
+      remove(a);
+    }
+    return Decision.ANSWER;
+  }
+
+  /** Records the outcome of an attempt and returns its command, to be resent until answered. */
+  public FinishBooking finish(
+      long attempt,
+      BookingOutcome outcome,
+      int status,
+      String contentType,
+      String body,
+      long atMillis) {
+    Attempt a = attempts.get(attempt);
+    checkState(a != null && a.answered && a.finish == null, "attempt %s is not open", attempt);
+    StartBooking s = a.start;
+    a.finish =
+        new FinishBooking(
+            ledger.self(),
+            attempt,
+            s.workspace(),
+            s.requestId(),
+            outcome,
+            status,
+            contentType,
+            body,
+            atMillis);
+    return a.finish;
+  }
+
+  /** Returns the outcomes without a reply, to be resent. */
+  public List<FinishBooking> unfinished() {
+    List<FinishBooking> result = new ArrayList<>();
+    for (Attempt a : attempts.values()) {
+      if (a.finish != null) {
+        result.add(a.finish);
+      }
+    }
+    return result;
+  }
+
+  /** Applies the reply to the outcome of an attempt. */
+  public void finished(long attempt, ControlReply reply) {
+    Attempt a = attempts.get(attempt);
+    if (a == null || a.finish == null) {
+      return;
+    }
+    if (reply instanceof ControlReply.Booked booked
+        && booked.booking().outcome() == BookingOutcome.NOT_RUN) {
+      ledger.bookingRefunded(a.start.workspace(), a.start.tokens());
+    }
+    remove(a);
+  }
+
+  private void remove(Attempt a) {
+    attempts.remove(a.start.attempt());
+    running.remove(List.of(a.start.workspace(), a.start.requestId()));
+  }
+
+  private static final class Attempt {
+    final StartBooking start;
+    boolean answered;
+    FinishBooking finish;
+
+    Attempt(StartBooking start) {
+      this.start = start;
+    }
+  }
+}
--- a/core/src/main/java/org/goldcrestfall/core/control/BillingBook.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/BillingBook.java
@@ -26,8 +26,8 @@
   static final int MIN_REMEMBERED_IDS = 250_000;
 
   /**
-   * Incarnations whose last batch is remembered. Batches of an incarnation that is dropped are
-   * refused when they are older than the last one of its host.
+   * Incarnations whose last batch is remembered. The closed incarnations are dropped first; a copy
+   * of a batch of a dropped one finds its requests billed as long as their ids are remembered.
    */
   static final int MAX_BATCHES = 4_096;
 
@@ -43,16 +43,21 @@
   ControlReply settle(ControlCommand.SettleRequests c) {
     Batch last = batches.getOrDefault(c.router(), new Batch(c.router(), 0, List.of()));
     if (c.batch() == last.number()) {
+      if (last.charged().size() != c.records().size()) {
+        return refusedBatch(c.batch());
+      }
       return new ControlReply.Settled(c.batch(), last.charged());
     }
     if (c.batch() < last.number()) {
-      return new ControlReply.Refused(
-          ErrorKind.INVALID_PARAMETER, "batch " + c.batch() + " was answered earlier");
+      return refusedBatch(c.batch());
     }
     for (BillingRecord r : c.records()) {
       Budget b = budgets.find(r.workspace());
       ControlReply.Refused refused = budgets.check(c.router(), b, r.workspace(), r.tokens());
       if (refused != null) {
+        // The router sends the records again in other batches, so a copy of this one must not
+        // succeed later.
+        remember(new Batch(c.router(), c.batch(), List.of()));
         return refused;
       }
     }
@@ -69,11 +74,20 @@
     while (records.size() > MAX_RECORDS) {
       records.remove(records.keySet().iterator().next());
     }
-    batches.put(c.router(), new Batch(c.router(), c.batch(), charged));
+    remember(new Batch(c.router(), c.batch(), charged));
+    return new ControlReply.Settled(c.batch(), charged);
+  }
+
+  private static ControlReply refusedBatch(long batch) {
+    return new ControlReply.Refused(
+        ErrorKind.INVALID_PARAMETER, "batch " + batch + " was answered or refused earlier");
+  }
+
+  private void remember(Batch batch) {
+    batches.put(batch.router(), batch);
     if (batches.size() > MAX_BATCHES) {
       dropOldestBatch();
     }
-    return new ControlReply.Settled(c.batch(), charged);
   }
 
   private void dropOldestBatch() {
--- a/core/src/main/java/org/goldcrestfall/core/control/BookingBook.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/BookingBook.java
@@ -13,6 +13,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.common.SeenNumbers;
 import org.goldcrestfall.core.control.ControlReply.Booked;
 import org.goldcrestfall.core.control.ControlReply.Refused;
 
@@ -41,7 +43,7 @@
   private final HostBook hosts;
   private final LinkedHashMap<List<String>, Booking> bookings = new LinkedHashMap<>();
   private final Set<List<String>> unreported = new HashSet<>();
-  private final TreeMap<String, List<String>> notRun = new TreeMap<>();
+  private final TreeMap<Incarnation, SeenNumbers> attempts = new TreeMap<>();
   private final DigestSet dropped = new DigestSet(MIN_REMEMBERED_IDS);
   private long bodyChars;
 
@@ -58,23 +60,31 @@
     }
     List<String> key = List.of(c.workspace(), c.requestId());
     Booking b = bookings.get(key);
-    if (b != null && (b.outcome() != NOT_RUN || hasEnded(c))) {
+    if (b != null && isAttempt(b, c)) {
+      return new Booked(b, b.outcome() == STARTED);
+    }
+    boolean open = hosts.isOpen(c.router());
+    final boolean isNew = open && isNew(c.router(), c.attempt());
+    if (b != null && b.outcome() != NOT_RUN) {
       if (!b.bodyHash().equals(c.bodyHash()) || !b.service().equals(c.service())) {
         return new Refused(
             ErrorKind.REQUEST_ID_REUSED,
             "request id " + c.requestId() + " was used for another booking");
       }
-      return new Booked(b, isAttempt(b, c) && b.outcome() == STARTED);
+      return new Booked(b, false);
     }
     if (dropped.contains(c.workspace(), c.requestId())) {
       return new Refused(
           ErrorKind.OUTCOME_UNKNOWN, "the booking is too old, its outcome is no longer kept");
     }
-    if (!hosts.isOpen(c.router())) {
+    if (!open) {
       return BudgetBook.closed(c.router());
     }
+    if (!isNew && b != null) {
+      return new Booked(b, false);
+    }
     Account account = budgets.account(budget, c.router());
-    if (account.balance() < c.tokens()) {
+    if (!isNew || account.balance() < c.tokens()) {
       return new Refused(
           ErrorKind.BUDGET_EXHAUSTED, "the router's allotment does not cover the booking");
     }
@@ -104,15 +114,12 @@
     return b.router().equals(c.router()) && b.attempt() == c.attempt();
   }
 
-  /** Returns whether the attempt was reported as not run, so its start arrives late. */
-  private boolean hasEnded(ControlCommand.StartBooking c) {
-    return notRun
-        .getOrDefault(name(c.workspace(), c.requestId()), List.of())
-        .contains(c.router() + ":" + c.attempt());
-  }
-
-  private static String name(String workspace, String requestId) {
-    return workspace + "/" + requestId;
+  /**
+   * Takes note of an attempt and returns whether it is new. An attempt that was answered otherwise
+   * than with a start has freed its reservation, so a late copy of it must not start the booking.
+   */
+  private boolean isNew(Incarnation router, long attempt) {
+    return attempts.computeIfAbsent(router, r -> new SeenNumbers()).add(attempt);
   }
 
   ControlReply finish(ControlCommand.FinishBooking c) {
@@ -146,9 +153,6 @@
             c.atMillis());
     put(key, done);
     if (c.outcome() == NOT_RUN) {
-      notRun
-          .computeIfAbsent(name(b.workspace(), b.requestId()), k -> new ArrayList<>())
-          .add(b.router() + ":" + b.attempt());
       Budget budget = budgets.find(b.workspace());
       budget.refund(budgets.account(budget, b.router()), b.tokens());
       budgets.releaseRequested();
@@ -178,7 +182,6 @@
     List<String> key = bookings.keySet().iterator().next();
     Booking b = bookings.remove(key);
     unreported.remove(key);
-    notRun.remove(name(b.workspace(), b.requestId()));
     bodyChars -= b.body() == null ? 0 : b.body().length();
     if (b.outcome() != NOT_RUN) {
       dropped.add(b.workspace(), b.requestId());
@@ -187,6 +190,7 @@
 
   /** Marks the bookings that incarnations of a host below {@code boot} have started as unknown. */
   void close(String host, long boot) {
+    attempts.keySet().removeIf(i -> i.host().equals(host) && i.boot() < boot);
     for (Booking b : List.copyOf(bookings.values())) {
       if (b.outcome() == STARTED && b.router().host().equals(host) && b.router().boot() < boot) {
         List<String> key = List.of(b.workspace(), b.requestId());
@@ -231,8 +235,9 @@
       }
       i++;
     }
-    return new Saved(
-        List.copyOf(bookings.values()), unreportedAt, new TreeMap<>(notRun), dropped.save());
+    List<Attempts> savedAttempts = new ArrayList<>();
+    attempts.forEach((r, n) -> savedAttempts.add(new Attempts(r, n.through(), n.ahead())));
+    return new Saved(List.copyOf(bookings.values()), unreportedAt, savedAttempts, dropped.save());
   }
 
   void restore(Saved s) {
@@ -244,17 +249,21 @@
       Booking b = s.bookings().get(i);
       unreported.add(List.of(b.workspace(), b.requestId()));
     }
-    s.notRun().forEach((k, v) -> notRun.put(k, new ArrayList<>(v)));
+    s.attempts().forEach(a -> attempts.put(a.router(), new SeenNumbers(a.through(), a.ahead())));
     dropped.restore(s.dropped());
   }
 
+  /** The attempts of an incarnation that were answered, see {@link SeenNumbers}. */
+  public record Attempts(Incarnation router, long through, List<Long> ahead) {}
+
   /**
    * The bookings in a snapshot; {@code unreportedAt} are the positions of those whose outcome was
-   * set by the closing of their router; {@code notRun} are the attempts that did not run.
+   * set by the closing of their router; {@code ended} are the attempts that were refused or did not
+   * run.
    */
   public record Saved(
       List<Booking> bookings,
       List<Integer> unreportedAt,
-      TreeMap<String, List<String>> notRun,
+      List<Attempts> attempts,
       List<String> dropped) {}
 }
--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/budget/EscrowWorld.java
@@ -0,0 +1,373 @@
+package org.goldcrestfall.core.budget;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.goldcrestfall.core.budget.FakeRouter.WORKSPACE;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.control.BillingRecord;
+import org.goldcrestfall.core.control.Booking;
+import org.goldcrestfall.core.control.BookingOutcome;
+import org.goldcrestfall.core.control.BudgetView;
+import org.goldcrestfall.core.control.ControlCommand;
+import org.goldcrestfall.core.control.ControlCommand.TransferAllotment;
+import org.goldcrestfall.core.control.ControlQuery;
+import org.goldcrestfall.core.control.ControlReply;
+import org.goldcrestfall.core.control.Group;
+import org.goldcrestfall.core.control.Intent;
+
+/**
+ * A few routers and a control state joined by a network that delays, reorders, repeats and loses
+ * messages. Each step is a number; {@link #check} holds the invariants after every step.
+ */
+final class EscrowWorld {
+
+  private static final int HOSTS = 4;
+  private static final int IDS = 40;
+
+  private final Group group = new Group();
+  private final Group shadow = new Group();
+  private final FakeRouter[] hosts = new FakeRouter[HOSTS];
+  private final List<FakeRouter> all = new ArrayList<>();
+  private final List<Runnable> network = new ArrayList<>();
+  private final Map<String, Long> delivered = new HashMap<>();
+  private final Map<String, Map<FakeRouter, Long>> deliveredBy = new HashMap<>();
+  private final Map<String, Integer> bookingsRun = new HashMap<>();
+  private final Map<String, Integer> charges = new HashMap<>();
+  private final Set<ControlCommand> starts = new HashSet<>();
+  private long now;
+  private int registrations;
+  private boolean released;
+  private long transfersReceived;
+  private long maximumDelivered;
+
+  EscrowWorld() {
+    for (Group g : List.of(group, shadow)) {
+      g.workspace(WORKSPACE, 250);
+    }
+    for (int i = 0; i < HOSTS; i++) {
+      start(i);
+    }
+  }
+
+  private ControlReply apply(ControlCommand c) {
+    ControlReply reply = group.apply(c);
+    assertThat(reply)
+        .as("a state restored from its snapshot replies the same")
+        .isEqualTo(shadow.apply(c));
+    return reply;
+  }
+
+  private void start(int i) {
+    registrations++;
+    String host = "a" + i;
+    ControlCommand register =
+        new ControlCommand.RegisterHost(host, "z", "x", "n" + registrations, 0);
+    long boot = ((ControlReply.Registered) apply(register)).boot();
+    network.add(() -> apply(register));
+    FakeRouter old = hosts[i];
+    hosts[i] = new FakeRouter(new Incarnation(host, boot), hasDisk(i));
+    all.add(hosts[i]);
+    if (old != null && hasDisk(i)) {
+      send(hosts[i], new ControlCommand.CloseIncarnation(old.self, old.durable(), 0));
+    }
+  }
+
+  private static boolean hasDisk(int i) {
+    return i < 2;
+  }
+
+  private void send(FakeRouter router, ControlCommand command) {
+    network.add(
+        () -> {
+          if (router.cut) {
+            return;
+          }
+          ControlReply reply = apply(command);
+          count(command, reply);
+          network.add(
+              () -> {
+                if (router.acts() && !router.cut) {
+                  long attempt = router.handle(command, reply);
+                  if (attempt > 0) {
+                    router.toSend.add(attempt);
+                    starts.add(command);
+                  }
+                }
+              });
+        });
+  }
+
+  private void count(ControlCommand command, ControlReply reply) {
+    if (command instanceof ControlCommand.SettleRequests c
+        && reply instanceof ControlReply.Settled s) {
+      for (int i = 0; i < s.charged().size(); i++) {
+        if (s.charged().get(i)) {
+          String key = c.records().get(i).requestId() + "@" + c.router() + "/" + c.batch();
+          charges.put(key, 1);
+        }
+      }
+    }
+  }
+
+  long deliveredPerMille() {
+    return 1000 * maximumDelivered / group.budget(WORKSPACE).paidIn();
+  }
+
+  int bookingsRun() {
+    return bookingsRun.size();
+  }
+
+  long transfersReceived() {
+    return transfersReceived;
+  }
+
+  /** Executes one step. */
+  void step(int number) {
+    int a = number / 100;
+    FakeRouter r = hosts[a % HOSTS];
+    a /= HOSTS;
+    now += a % 300;
+    int op = number % 100;
+    if (op < 30) {
+      for (int i = 0; i <= a % 16; i++) {
+        deliver(a / 16 + 7 * i);
+      }
+    } else if (op < 45) {
+      if (r.acts()) {
+        final boolean flush = a % 3 > 0;
+        r.outbox(now + 1_000, flush).forEach(c -> send(r, c));
+        r.transfers.undelivered().forEach(t -> transfer(r, t));
+      }
+    } else if (op < 60) {
+      request(r, "r" + a % IDS, 1 + a / IDS % 60);
+    } else if (op < 72) {
+      finishRun(r, a);
+    } else if (op < 76) {
+      book(r, "b" + a % IDS, 1 + a / IDS % 30);
+    } else if (op < 80) {
+      call(r, a);
+    } else {
+      fault(op, r, a);
+    }
+    check();
+  }
+
+  private void fault(int op, FakeRouter r, int a) {
+    int host = List.of(hosts).indexOf(r);
+    if (op < 84) {
+      give(r, hosts[a % HOSTS], 1 + a / HOSTS % 50);
+    } else if (op < 86) {
+      r.cut = a % 5 == 0;
+    } else if (op < 88) {
+      // With a disk, the lock on the data folder keeps the next process out while one is frozen.
+      r.frozen = a % 5 == 0;
+    } else if (op < 91) {
+      if (a % 4 > 0) {
+        return;
+      }
+      if (hasDisk(host) || a % 8 == 0) {
+        r.alive = false;
+      } else {
+        r.frozen = true;
+        all.add(r);
+      }
+      start(host);
+    } else if (op < 93) {
+      Intent topUp = new Intent.TopUpBudget(WORKSPACE, 1 + a % 40);
+      assertThat(group.confirm(topUp)).isEqualTo(shadow.confirm(topUp));
+    } else if (op < 95) {
+      if (r.acts()) {
+        r.ledger.giveBack(WORKSPACE, a % 80);
+      }
+    } else if (op < 97) {
+      group.restart();
+    } else if (op < 98) {
+      release(all.get(a % all.size()));
+    } else if (op < 99) {
+      FakeRouter old = all.get(a % all.size());
+      old.frozen = false;
+    } else if (r.acts() && !r.cut) {
+      noteClosings(r);
+    }
+  }
+
+  private void deliver(int a) {
+    if (network.isEmpty()) {
+      return;
+    }
+    // Index 0 is the oldest message; half of the deliveries keep the order.
+    int i = a % 2 == 0 ? 0 : a / 2 % network.size();
+    boolean repeat = a / 64 % 5 == 0;
+    boolean lose = a / 64 % 11 == 1;
+    Runnable message = repeat ? network.get(i) : network.remove(i);
+    if (!lose) {
+      message.run();
+    }
+  }
+
+  private void transfer(FakeRouter from, TransferAllotment t) {
+    network.add(
+        () -> {
+          for (FakeRouter to : all) {
+            if (to.self.equals(t.to()) && to.acts() && to.transfers.receive(t)) {
+              transfersReceived++;
+              network.add(() -> from.transfers.delivered(WORKSPACE, t.number()));
+            }
+          }
+        });
+  }
+
+  private void give(FakeRouter from, FakeRouter to, long tokens) {
+    if (from != to && from.acts()) {
+      from.transfers.give(WORKSPACE, tokens, to.self).ifPresent(t -> transfer(from, t));
+      from.writeWatermark();
+    }
+  }
+
+  private void request(FakeRouter r, String id, long worstCase) {
+    if (!r.acts() || r.running.stream().anyMatch(x -> x.id().equals(id))) {
+      return;
+    }
+    List<?> billed = (List<?>) group.state().query(new ControlQuery.BillingOf(WORKSPACE, id));
+    if (!billed.isEmpty() && !r.cut) {
+      return;
+    }
+    r.run(id, worstCase, now);
+  }
+
+  private void finishRun(FakeRouter r, int a) {
+    if (r.acts() && !r.running.isEmpty()) {
+      FakeRouter.Run run = r.running.get(a % r.running.size());
+      long used = a / 8 % (run.reserved() + 1);
+      r.end(run, used, now);
+      deliveredBy.computeIfAbsent(run.id(), k -> new HashMap<>()).merge(r, used, Math::max);
+    }
+  }
+
+  private void book(FakeRouter r, String id, long tokens) {
+    if (r.acts() && !r.bookings.isRunning(WORKSPACE, id) && r.reserve(tokens)) {
+      send(r, r.bookings.start(WORKSPACE, id, "h", "cedar", tokens, now));
+    }
+  }
+
+  private void call(FakeRouter r, int a) {
+    if (!r.acts() || r.toSend.isEmpty()) {
+      return;
+    }
+    long attempt = r.toSend.iterator().next();
+    r.toSend.remove(attempt);
+    String id = "";
+    for (ControlCommand c : starts) {
+      if (c instanceof ControlCommand.StartBooking s
+          && s.router().equals(r.self)
+          && s.attempt() == attempt) {
+        id = s.requestId();
+      }
+    }
+    BookingOutcome outcome =
+        List.of(BookingOutcome.NOT_RUN, BookingOutcome.RAN, BookingOutcome.UNKNOWN).get(a % 3);
+    if (outcome != BookingOutcome.NOT_RUN) {
+      bookingsRun.merge(id, 1, Integer::sum);
+    }
+    send(r, r.bookings.finish(attempt, outcome, 200, "text/plain", "b2s=", now));
+  }
+
+  private void release(FakeRouter r) {
+    if (!r.alive) {
+      Intent intent = new Intent.ReleaseStranded(WORKSPACE, r.self);
+      ControlReply reply = group.confirm(intent);
+      assertThat(reply).isEqualTo(shadow.confirm(intent));
+      released |= reply instanceof ControlReply.Planned;
+    }
+  }
+
+  private void noteClosings(FakeRouter r) {
+    Set<Incarnation> closed = new HashSet<>();
+    for (FakeRouter x : all) {
+      if (!List.of(hosts).contains(x)) {
+        closed.add(x.self);
+      }
+    }
+    r.transfers.close(closed, group.state().lastIndex());
+  }
+
+  /** Checks what must hold at every moment. */
+  private void check() {
+    BudgetView b = group.budget(WORKSPACE);
+    assertThat(b.settled() + b.outstanding() + b.stranded() + b.unallotted())
+        .as("the parts of the budget add up")
+        .isEqualTo(b.paidIn());
+    assertThat(b.unallotted()).as("unallotted rest").isNotNegative();
+    assertThat(b.settled()).as("settled").isLessThanOrEqualTo(b.paidIn());
+    checkBookings();
+    long real = checkBilling() + bookingCharges();
+    maximumDelivered = Math.max(maximumDelivered, real);
+    assertThat(real).as("tokens really delivered").isLessThanOrEqualTo(b.paidIn());
+    assertThat(real + b.unallotted() + spendable())
+        .as("tokens delivered and still spendable")
+        .isLessThanOrEqualTo(b.paidIn());
+  }
+
+  /** Returns the tokens that running processes, frozen ones included, may still deliver. */
+  private long spendable() {
+    long sum = 0;
+    Set<FakeRouter> processes = new HashSet<>(all);
+    for (FakeRouter r : processes) {
+      if (r.alive) {
+        sum += r.ledger.available(WORKSPACE);
+        sum += r.running.stream().mapToLong(FakeRouter.Run::reserved).sum();
+      }
+    }
+    return sum;
+  }
+
+  private long bookingCharges() {
+    long sum = 0;
+    for (Object o : (List<?>) group.state().query(new ControlQuery.Bookings(WORKSPACE, 1_000))) {
+      Booking k = (Booking) o;
+      sum += k.outcome() == BookingOutcome.NOT_RUN ? 0 : k.tokens();
+    }
+    return sum;
+  }
+
+  private void checkBookings() {
+    for (Object o : (List<?>) group.state().query(new ControlQuery.Bookings(WORKSPACE, 1_000))) {
+      Booking k = (Booking) o;
+      int runs = bookingsRun.getOrDefault(k.requestId(), 0);
+      assertThat(runs).as("runs of booking " + k.requestId()).isLessThanOrEqualTo(1);
+      if (k.outcome() == BookingOutcome.NOT_RUN) {
+        assertThat(runs).as("runs of a booking answered as not run").isZero();
+      }
+    }
+  }
+
+  /** Returns the tokens delivered, each request counted once, as billed where it is billed. */
+  private long checkBilling() {
+    Map<String, Long> billed = new HashMap<>();
+    for (Object o : (List<?>) group.state().query(new ControlQuery.Billing(WORKSPACE, 10_000))) {
+      BillingRecord r = (BillingRecord) o;
+      assertThat(billed.put(r.requestId(), r.tokens())).as("one billing record").isNull();
+    }
+    Map<String, Integer> perId = new HashMap<>();
+    charges.keySet().forEach(k -> perId.merge(k.substring(0, k.indexOf('@')), 1, Integer::sum));
+    perId.forEach((id, n) -> assertThat(n).as("charges of request " + id).isEqualTo(1));
+    delivered.clear();
+    deliveredBy.forEach(
+        (id, runs) ->
+            runs.forEach(
+                (router, used) -> {
+                  // An operator's release writes off what dead routers delivered and never billed.
+                  if (router.alive || !released) {
+                    delivered.merge(id, used, Math::max);
+                  }
+                }));
+    delivered.putAll(billed);
+    return delivered.values().stream().mapToLong(Long::longValue).sum();
+  }
+}
--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/budget/FakeRouter.java
@@ -0,0 +1,126 @@
+package org.goldcrestfall.core.budget;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.control.BillingRecord;
+import org.goldcrestfall.core.control.ControlCommand;
+import org.goldcrestfall.core.control.ControlReply;
+import org.goldcrestfall.core.control.Tradeoff;
+
+/** One router process: the parts under test, wired as the daemon wires them, without I/O. */
+final class FakeRouter {
+
+  static final String WORKSPACE = "hulls";
+
+  final Incarnation self;
+  final AllotmentLedger ledger;
+  final SettlementQueue queue;
+  final TransferLedger transfers;
+  final BookingLedger bookings;
+  final GrantPolicy policy = new GrantPolicy();
+  final BlockWatermark watermark;
+  final List<Run> running = new ArrayList<>();
+  final Set<Long> toSend = new HashSet<>();
+  boolean alive = true;
+  boolean frozen;
+  boolean cut;
+
+  FakeRouter(Incarnation self, boolean disk) {
+    this.self = self;
+    watermark = disk ? new BlockWatermark(40) : null;
+    ledger = disk ? new AllotmentLedger(self, watermark) : new AllotmentLedger(self);
+    queue = new SettlementQueue(ledger);
+    transfers = new TransferLedger(ledger);
+    bookings = new BookingLedger(ledger);
+  }
+
+  /** A request that an engine is answering for this router. */
+  record Run(String id, long reserved) {}
+
+  boolean acts() {
+    return alive && !frozen;
+  }
+
+  /** Commands that the router would send or resend now. */
+  List<ControlCommand> outbox(long now, boolean flush) {
+    List<ControlCommand> out = new ArrayList<>();
+    out.addAll(transfers.unreported());
+    transfers.closedThrough().ifPresent(i -> out.add(new ControlCommand.ReportTransfers(self, i)));
+    policy
+        .ask(WORKSPACE, Tradeoff.STRICT, ledger.available(WORKSPACE), 0, now)
+        .ifPresent(a -> out.add(ledger.requestGrant(WORKSPACE, a.tokens(), a.needed())));
+    queue.next(now, flush).ifPresent(out::add);
+    out.addAll(ledger.unacknowledgedReturns());
+    out.addAll(bookings.unanswered());
+    out.addAll(bookings.unfinished());
+    return out;
+  }
+
+  /** Handles the reply to a command; returns the attempt to send, or 0. */
+  long handle(ControlCommand command, ControlReply reply) {
+    if (command instanceof ControlCommand.GrantAllotment c) {
+      if (reply instanceof ControlReply.Granted g) {
+        ledger.grantReceived(WORKSPACE, g.number(), g.tokens());
+      } else {
+        ledger.grantRefused(WORKSPACE, c.number());
+      }
+    } else if (command instanceof ControlCommand.SettleRequests c) {
+      if (reply instanceof ControlReply.Settled s) {
+        queue.acknowledge(s);
+      } else {
+        queue.refuse(c.batch());
+      }
+    } else if (command instanceof ControlCommand.ReturnAllotment c) {
+      ledger.returnAcknowledged(WORKSPACE, c.returnedTotal());
+    } else if (command instanceof ControlCommand.TransferAllotment c) {
+      transfers.reported(c);
+    } else if (command instanceof ControlCommand.FinishBooking c) {
+      bookings.finished(c.attempt(), reply);
+    } else if (command instanceof ControlCommand.StartBooking c) {
+      if (bookings.started(c.attempt(), reply) == BookingLedger.Decision.SEND) {
+        return c.attempt();
+      }
+    }
+    return 0;
+  }
+
+  /** Starts a request if the ledger covers its worst case. */
+  boolean run(String id, long worstCase, long now) {
+    policy.demand(WORKSPACE, worstCase, now);
+    if (!reserve(worstCase)) {
+      return false;
+    }
+    running.add(new Run(id, worstCase));
+    return true;
+  }
+
+  boolean reserve(long tokens) {
+    Reservation r = ledger.reserve(WORKSPACE, tokens);
+    if (r == Reservation.WATERMARK_PENDING) {
+      writeWatermark();
+      r = ledger.reserve(WORKSPACE, tokens);
+    }
+    return r == Reservation.RESERVED;
+  }
+
+  void writeWatermark() {
+    if (watermark != null) {
+      watermark.nextWrite().ifPresent(watermark::written);
+    }
+  }
+
+  Map<String, Long> durable() {
+    return Map.of(WORKSPACE, watermark.durable(WORKSPACE));
+  }
+
+  /** Ends a request with its actual use. */
+  void end(Run run, long used, long now) {
+    running.remove(run);
+    ledger.settle(WORKSPACE, run.reserved(), used);
+    queue.add(new BillingRecord(WORKSPACE, run.id(), "h", "m", "quick", 0, used, used, now), now);
+  }
+}
