Carry the giver in transfer offers and begin the wiring of the daemon

Cause: a transfer offer named its receiver only, so the receiver had to guess the incarnation of the giver.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/DaemonMain.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/DaemonMain.java
@@ -4,6 +4,7 @@
 import com.beust.jcommander.ParameterException;
 import com.google.common.flogger.FluentLogger;
 import java.nio.file.Path;
+import org.goldcrestfall.daemon.log.DrainingLogManager;
 import org.goldcrestfall.daemon.log.LogSetup;
 import org.goldcrestfall.daemon.settings.Settings;
 import org.goldcrestfall.daemon.settings.SettingsException;
@@ -20,6 +21,7 @@
 
   /** Runs the daemon until SIGTERM, or checks its settings. */
   public static void main(String[] args) {
+    System.setProperty("java.util.logging.manager", DrainingLogManager.class.getName());
     int code = run(args);
     if (code != 0) {
       System.exit(code);
@@ -65,14 +67,19 @@
   private static int start(Settings s) {
     LogSetup.install(s.log().format(), s.log().level());
     Daemon daemon = new Daemon(s);
-    Thread hook = new Thread(daemon::shutdown, "shutdown");
-    Runtime.getRuntime().addShutdownHook(hook);
     try {
       daemon.start();
-      return 0;
     } catch (Exception e) {
       logger.atSevere().withCause(e).log("daemon: start failed");
       return EXIT_FAILURE;
     }
+    Runtime.getRuntime().addShutdownHook(new Thread(() -> stop(daemon), "shutdown"));
+    return 0;
+  }
+
+  /** A process that ends by a signal would exit with a code other than 0 even after draining. */
+  private static void stop(Daemon daemon) {
+    boolean clean = daemon.shutdown();
+    Runtime.getRuntime().halt(clean ? 0 : EXIT_FAILURE);
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/TransferService.java
@@ -0,0 +1,271 @@
+package org.goldcrestfall.daemon.budget;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.flogger.FluentLogger;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
+import org.goldcrestfall.core.budget.TransferLedger;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.control.ControlCommand;
+import org.goldcrestfall.core.control.ControlQuery;
+import org.goldcrestfall.core.control.ControlReply;
+import org.goldcrestfall.daemon.control.ControlService;
+import org.goldcrestfall.wire.PeerTransport;
+import org.goldcrestfall.wire.generated.Body;
+import org.goldcrestfall.wire.generated.TransferAck;
+import org.goldcrestfall.wire.generated.TransferOffer;
+import org.goldcrestfall.wire.generated.TransferRequest;
+
+/**
+ * Moves tokens between routers, so that the routers on one side of a partition can share what they
+ * hold without the control group. Transfers are reported to the control group when it is reachable.
+ */
+public final class TransferService {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private static final long CALL_MILLIS = 500;
+  private static final long ASK_INTERVAL_MILLIS = 300;
+  private static final int PEERS_PER_ASK = 3;
+
+  private final BudgetService budgets;
+  private final TransferLedger transfers;
+  private final PeerTransport transport;
+  private final ControlService control;
+  private final Supplier<Map<Incarnation, String>> routers;
+  private final MillisClock clock;
+  private final Map<String, Long> asked = new HashMap<>();
+  private boolean reporting;
+
+  /**
+   * Creates the service and registers its message handlers.
+   *
+   * @param routers addresses of the other live routers
+   */
+  public TransferService(
+      BudgetService budgets,
+      PeerTransport transport,
+      ControlService control,
+      Supplier<Map<Incarnation, String>> routers,
+      MillisClock clock) {
+    this.budgets = budgets;
+    this.transport = transport;
+    this.control = control;
+    this.routers = routers;
+    this.clock = clock;
+    transfers = budgets.withLedger(TransferLedger::new);
+    transport.handle(Body.KindCase.TRANSFER_REQUEST, this::onRequest);
+    transport.handle(Body.KindCase.TRANSFER_OFFER, this::onOffer);
+    transport.handle(
+        Body.KindCase.TRANSFER_ACK,
+        (sender, body) -> {
+          onAck(body.getTransferAck());
+          return null;
+        });
+  }
+
+  /** Asks other routers for the tokens that waiting requests lack. Call every 100 ms. */
+  public void tick() {
+    Map<String, Long> shortages = budgets.shortages();
+    long now = clock.nowMillis();
+    for (Map.Entry<String, Long> e : shortages.entrySet()) {
+      Long last = asked.get(e.getKey());
+      if (last == null || now - last >= ASK_INTERVAL_MILLIS) {
+        asked.put(e.getKey(), now);
+        ask(e.getKey(), e.getValue());
+      }
+    }
+    asked.keySet().retainAll(shortages.keySet());
+  }
+
+  /** Resends what is not acknowledged, and reports transfers. Call every second. */
+  public void maintain() {
+    List<ControlCommand.TransferAllotment> undelivered =
+        budgets.withLedger(l -> transfers.undelivered());
+    Map<Incarnation, String> live = routers.get();
+    for (ControlCommand.TransferAllotment t : undelivered) {
+      String address = live.get(t.to());
+      if (address != null) {
+        transport
+            .call(address, offer(t), CALL_MILLIS)
+            .thenAccept(b -> onAck(b.getTransferAck()));
+      }
+    }
+    report();
+  }
+
+  /** Learns which incarnations are closed and states what was received from them. */
+  public void checkClosed() {
+    control
+        .query(new ControlQuery.Hosts())
+        .whenComplete(
+            (n, e) -> {
+              if (e == null) {
+                close(n);
+              }
+            });
+  }
+
+  private void close(JsonNode hosts) {
+    Set<Incarnation> closed = new HashSet<>();
+    long through = 0;
+    for (JsonNode h : hosts) {
+      long boot = h.path("boot").asLong();
+      boolean open = h.path("closed_at").asLong() == 0;
+      for (long b = 1; b < boot || (!open && b == boot); b++) {
+        closed.add(new Incarnation(h.path("host").asText(), b));
+      }
+      through = Math.max(through, h.path("closed_at").asLong());
+      if (boot > 1) {
+        through = Math.max(through, h.path("registered_at").asLong());
+      }
+    }
+    long index = through;
+    Optional<Long> stated =
+        budgets.withLedger(
+            l -> {
+              transfers.close(closed, index);
+              return transfers.closedThrough();
+            });
+    stated.ifPresent(
+        i -> control.submit(new ControlCommand.ReportTransfers(budgets.self(), i)));
+  }
+
+  private void ask(String workspace, long tokens) {
+    List<String> addresses = new ArrayList<>(routers.get().values());
+    Collections.shuffle(addresses);
+    Body body =
+        Body.newBuilder()
+            .setTransferRequest(
+                TransferRequest.newBuilder().setWorkspace(workspace).setTokens(tokens))
+            .build();
+    for (String a : addresses.subList(0, Math.min(PEERS_PER_ASK, addresses.size()))) {
+      transport
+          .call(a, body, CALL_MILLIS)
+          .whenComplete(
+              (b, e) -> {
+                if (e == null && b.hasTransferOffer() && b.getTransferOffer().getTokens() > 0) {
+                  onOfferReply(a, b.getTransferOffer());
+                }
+              });
+    }
+  }
+
+  private CompletableFuture<Body> onRequest(Incarnation sender, Body body) {
+    TransferRequest r = body.getTransferRequest();
+    long gift = budgets.spare(r.getWorkspace(), r.getTokens());
+    Optional<ControlCommand.TransferAllotment> t =
+        sender.boot() == 0
+            ? Optional.empty()
+            : budgets.withLedger(l -> transfers.give(r.getWorkspace(), gift, sender));
+    t.ifPresent(
+        x ->
+            logger.atInfo().log(
+                "budget: transferred %s tokens of %s to %s", x.tokens(), x.workspace(), x.to()));
+    return CompletableFuture.completedFuture(
+        t.map(TransferService::offer)
+            .orElseGet(
+                () ->
+                    Body.newBuilder()
+                        .setTransferOffer(
+                            TransferOffer.newBuilder().setWorkspace(r.getWorkspace()))
+                        .build()));
+  }
+
+  private void onOfferReply(String address, TransferOffer o) {
+    if (receive(o)) {
+      transport.send(address, Body.newBuilder().setTransferAck(ack(o)).build());
+    }
+  }
+
+  private CompletableFuture<Body> onOffer(Incarnation sender, Body body) {
+    TransferOffer o = body.getTransferOffer();
+    if (!sender.host().equals(o.getFromHost()) || !receive(o)) {
+      return CompletableFuture.failedFuture(
+          new IllegalArgumentException("transfer " + o.getNumber() + " is not for this router"));
+    }
+    return CompletableFuture.completedFuture(Body.newBuilder().setTransferAck(ack(o)).build());
+  }
+
+  private boolean receive(TransferOffer o) {
+    ControlCommand.TransferAllotment t =
+        new ControlCommand.TransferAllotment(
+            new Incarnation(o.getFromHost(), o.getFromBoot()),
+            new Incarnation(o.getToHost(), o.getToBoot()),
+            o.getWorkspace(),
+            o.getNumber(),
+            o.getTokens());
+    boolean accepted = budgets.withLedger(l -> transfers.receive(t));
+    budgets.serveWaiters(o.getWorkspace());
+    return accepted;
+  }
+
+  private void onAck(TransferAck a) {
+    budgets.withLedger(
+        l -> {
+          transfers.delivered(a.getWorkspace(), a.getNumber());
+          return null;
+        });
+  }
+
+  private void report() {
+    List<ControlCommand.TransferAllotment> open;
+    synchronized (this) {
+      open = budgets.withLedger(l -> transfers.unreported());
+      if (reporting || open.isEmpty()) {
+        return;
+      }
+      reporting = true;
+    }
+    ControlCommand.TransferAllotment t = open.get(0);
+    control
+        .submit(t)
+        .whenComplete(
+            (r, e) -> {
+              synchronized (this) {
+                reporting = false;
+              }
+              if (e == null) {
+                if (r instanceof ControlReply.Refused f) {
+                  logger.atWarning().log("budget: transfer %s was refused: %s", t, f.message());
+                }
+                budgets.withLedger(
+                    l -> {
+                      transfers.reported(t);
+                      return null;
+                    });
+                report();
+              }
+            });
+  }
+
+  private static Body offer(ControlCommand.TransferAllotment t) {
+    return Body.newBuilder()
+        .setTransferOffer(
+            TransferOffer.newBuilder()
+                .setWorkspace(t.workspace())
+                .setNumber(t.number())
+                .setTokens(t.tokens())
+                .setFromHost(t.from().host())
+                .setFromBoot(t.from().boot())
+                .setToHost(t.to().host())
+                .setToBoot(t.to().boot()))
+        .build();
+  }
+
+  private static TransferAck ack(TransferOffer o) {
+    return TransferAck.newBuilder()
+        .setWorkspace(o.getWorkspace())
+        .setNumber(o.getNumber())
+        .build();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlStateMachine.java
@@ -0,0 +1,101 @@
+package org.goldcrestfall.daemon.control;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.google.common.flogger.FluentLogger;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.Collection;
+import java.util.List;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.control.ConfigChange;
+import org.goldcrestfall.core.control.ConfigView;
+import org.goldcrestfall.core.control.ControlCommand;
+import org.goldcrestfall.core.control.ControlQuery;
+import org.goldcrestfall.core.control.ControlReply;
+import org.goldcrestfall.core.control.ControlSnapshot;
+import org.goldcrestfall.core.control.ControlState;
+import org.goldcrestfall.core.control.EngineOrder;
+import org.goldcrestfall.daemon.http.Json;
+import org.goldcrestfall.daemon.peer.ConfigSource;
+
+/**
+ * The control state behind the replicated log: commands, queries, replies and snapshots as JSON.
+ * Thread-safe, because the configuration and the orders are read from other threads.
+ */
+public final class ControlStateMachine implements StateMachine, ConfigSource {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private ControlState state = new ControlState();
+  private volatile ConfigView view = ConfigView.EMPTY;
+
+  /** Workspaces, patience classes and services with the revision of the configuration. */
+  public record Configuration(
+      long revision,
+      Collection<ConfigView.Workspace> workspaces,
+      Collection<ConfigView.PatienceClass> patienceClasses,
+      Collection<ConfigView.Service> services) {}
+
+  @Override
+  public synchronized byte[] apply(long index, byte[] command) {
+    ControlReply reply;
+    try {
+      reply = state.apply(index, Json.mapper().readValue(command, ControlCommand.class));
+    } catch (IOException e) {
+      // Every member refuses the same bytes, so the states stay equal.
+      logger.atSevere().log("control: entry %s is not a command: %s", index, e.getMessage());
+      reply = new ControlReply.Refused(ErrorKind.INVALID_PARAMETER, "The command is not valid.");
+    }
+    view = state.view();
+    return Json.bytes(reply);
+  }
+
+  @Override
+  public synchronized byte[] query(byte[] query) {
+    try {
+      ControlQuery q = Json.mapper().readValue(query, ControlQuery.class);
+      return Json.bytes(q instanceof ControlQuery.Workspaces ? configuration() : state.query(q));
+    } catch (IOException e) {
+      logger.atWarning().log("control: query cannot be read: %s", e.getMessage());
+      return Json.bytes(null);
+    }
+  }
+
+  private Configuration configuration() {
+    ConfigView v = state.view();
+    return new Configuration(
+        v.revision(), v.workspaces().values(), v.classes().values(), v.services().values());
+  }
+
+  @Override
+  public synchronized byte[] snapshot() {
+    return Json.bytes(state.snapshot());
+  }
+
+  @Override
+  public synchronized void restore(byte[] snapshot) {
+    try {
+      state = ControlState.restore(Json.mapper().readValue(snapshot, ControlSnapshot.class));
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("the snapshot is not valid", e);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    view = state.view();
+  }
+
+  @Override
+  public ConfigView view() {
+    return view;
+  }
+
+  @Override
+  public synchronized List<ConfigChange> changesAfter(long revision) {
+    return state.changesAfter(revision);
+  }
+
+  /** Returns the orders to engines that have no outcome yet. */
+  public synchronized List<EngineOrder> queuedOrders() {
+    return state.queuedOrders();
+  }
+}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/log/LogSetup.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/log/LogSetup.java
@@ -28,6 +28,9 @@
     Logger own = Logger.getLogger("org.goldcrestfall");
     own.setLevel(l);
     KEEP[0] = own;
+    if (LogManager.getLogManager() instanceof DrainingLogManager m) {
+      m.markInstalled();
+    }
   }
 
   // The log manager holds loggers weakly; without this reference the level would be lost.
