--- /dev/null
+++ b/scripts/lib.sh
@@ -0,0 +1,177 @@
+# Functions that the demo and the benchmarks share: settings, processes, polling. Sourced by bash.
+# The scripts need a JDK, Maven and coreutils only.
+
+root="$(cd "$(dirname "${BASH_SOURCE[0]}")/.." && pwd)"
+cli="$root/bin/goldcrestfall"
+standin="$root/bin/goldcrestfall-standin"
+daemon="$root/bin/goldcrestfalld"
+
+declare -A pids=()      # name of a process that this script started -> process id
+declare -A http=()      # host -> ip:port of its HTTP interface
+declare -A peer=()      # host -> ip:port for other daemons
+failures=0
+
+say() { printf '%s  %s\n' "$(date +%H:%M:%S)" "$*"; }
+
+check() { # check DESCRIPTION ACTUAL EXPECTED
+  if [[ "$2" == "$3" ]]; then
+    say "ok: $1 is $3"
+  else
+    say "NOT AS EXPECTED: $1 is '$2', expected '$3'"
+    failures=$((failures + 1))
+  fi
+}
+
+sha256() { printf '%s' "$1" | sha256sum | cut -d' ' -f1; }
+
+random_hex() { head -c "$1" /dev/urandom | od -An -v -tx1 | tr -d ' \n'; }
+
+# number FIELD JSON: the first value of a numeric field.
+number() {
+  local pattern="\"$1\" ?: ?(-?[0-9]+)"
+  [[ "$2" =~ $pattern ]] && printf '%s' "${BASH_REMATCH[1]}"
+}
+
+# text FIELD JSON: the first value of a text field.
+text() {
+  local pattern="\"$1\" ?: ?\"([^\"]*)\""
+  [[ "$2" =~ $pattern ]] && printf '%s' "${BASH_REMATCH[1]}"
+}
+
+build() {
+  say "building"
+  (cd "$root" && mvn -B -ntp -q -DskipTests package)
+}
+
+# start NAME COMMAND...: starts a process with its output in a log file and notes its id.
+start() {
+  local name="$1"
+  shift
+  "$@" >>"$folder/$name.log" 2>&1 &
+  pids[$name]=$!
+}
+
+# stop NAME...: SIGTERM to all, then waits; an exit code other than 0 is a failure.
+stop() {
+  local name code
+  for name in "$@"; do
+    [[ -n "${pids[$name]:-}" ]] && kill -TERM "${pids[$name]}" 2>/dev/null
+  done
+  for name in "$@"; do
+    [[ -n "${pids[$name]:-}" ]] || continue
+    code=0
+    wait "${pids[$name]}" || code=$?
+    unset "pids[$name]"
+    if [[ "$code" != 0 ]]; then
+      say "NOT AS EXPECTED: $name exited with $code, expected 0; see $folder/$name.log"
+      failures=$((failures + 1))
+    fi
+  done
+  return 0
+}
+
+# Kills what still runs; only for the exit after a failure.
+kill_rest() {
+  local name
+  for name in "${!pids[@]}"; do
+    kill -KILL "${pids[$name]}" 2>/dev/null
+    wait "${pids[$name]}" 2>/dev/null
+  done
+  pids=()
+  return 0
+}
+
+await_ready() { # await_ready SECONDS HOST...
+  local seconds="$1" urls=() host
+  shift
+  for host in "$@"; do
+    urls+=(--url "http://${http[$host]}/readyz")
+  done
+  "$standin" call --until-status 200 --timeout-seconds "$seconds" "${urls[@]}"
+}
+
+# Chooses ports and secrets for control hosts c1.. and router hosts r1.. of three zones.
+plan_fleet() { # plan_fleet CONTROLS ROUTERS
+  local i ports
+  controls=()
+  routers=()
+  for ((i = 1; i <= $1; i++)); do controls+=("c$i"); done
+  for ((i = 1; i <= $2; i++)); do routers+=("r$i"); done
+  read -ra ports < <("$standin" ports --count $((2 * ($1 + $2))))
+  i=0
+  for host in "${controls[@]}" "${routers[@]}"; do
+    http[$host]="127.0.0.1:${ports[i]}"
+    peer[$host]="127.0.0.1:${ports[i + 1]}"
+    i=$((i + 2))
+  done
+  cluster_key="$(random_hex 24)"
+  upstream_key="$(random_hex 24)"
+  operator_token="$(random_hex 24)"
+  export GOLDCRESTFALL_UPSTREAM_KEY="$upstream_key"
+  export GOLDCRESTFALL_TOKEN="$operator_token"
+  GOLDCRESTFALL_SERVER="$(for host in "${controls[@]}" "${routers[@]}"; do echo "${http[$host]}"; done | paste -sd,)"
+  export GOLDCRESTFALL_SERVER
+  router_list="$(for host in "${routers[@]}"; do echo "${http[$host]}"; done | paste -sd,)"
+}
+
+# Writes the settings of one host: write_settings HOST ROLE ZONE
+write_settings() {
+  local host="$1" role="$2" zone="$3" members="" seeds="" other
+  for other in "${controls[@]}"; do
+    members+="${members:+, }{\"host\": \"$other\", \"address\": \"${peer[$other]}\"}"
+    seeds+="${seeds:+, }\"${peer[$other]}\""
+  done
+  cat >"$folder/$host.json" <<SETTINGS
+{"host": "$host", "zone": "$zone", "roles": ["$role"],
+ "http": {"address": "127.0.0.1", "port": ${http[$host]##*:}},
+ "peer": {"address": "127.0.0.1", "port": ${peer[$host]##*:}, "key": "$cluster_key"},
+ "seeds": [$seeds],
+ "controlMembers": [$members],
+ "dataFolder": "$folder/data/$host",
+ "operators": [{"name": "ana", "tokenSha256": "$(sha256 "$operator_token")"}],
+ "upstreamKeySha256": "$(sha256 "$upstream_key")",
+ "log": {"format": "text", "level": "INFO"},
+ "limits": {"maxBodyBytes": 1048576, "maxHeaderBytes": 16384, "maxQueuedRequests": 512, "maxQueuedBytes": 16777216},
+ "drain": {"notReadyMillis": 500, "maxMillis": 30000}}
+SETTINGS
+}
+
+# Writes all settings and starts all daemons, then waits until they are ready.
+start_fleet() {
+  local i=0 zones=(zone-a zone-b zone-c) host
+  for host in "${controls[@]}"; do
+    write_settings "$host" control "${zones[i++ % 3]}"
+  done
+  i=0
+  for host in "${routers[@]}"; do
+    write_settings "$host" router "${zones[i++ % 3]}"
+  done
+  mkdir -p "$folder/data"
+  for host in "${controls[@]}" "${routers[@]}"; do
+    start_daemon "$host"
+  done
+  await_ready 40 "${controls[@]}" "${routers[@]}"
+}
+
+start_daemon() { start "$1" "$daemon" --settings "$folder/$1.json"; }
+
+# Waits until every router shows the texts in its list of upstreams: await_upstreams NAME...
+await_upstreams() {
+  local arguments=() host name
+  for host in "${routers[@]}"; do
+    arguments+=(--url "http://${http[$host]}/admin/v1/upstreams")
+  done
+  for name in "$@"; do
+    arguments+=(--until-contains "\"$name\"")
+  done
+  "$standin" call --until-status 200 --timeout-seconds 20 --key "$operator_token" "${arguments[@]}"
+}
+
+# Waits until every router accepts the API key: await_key KEY
+await_key() {
+  local arguments=() host
+  for host in "${routers[@]}"; do
+    arguments+=(--url "http://${http[$host]}/v1/models")
+  done
+  "$standin" call --until-status 200 --timeout-seconds 20 --key "$1" "${arguments[@]}"
+}
--- a/standin/src/main/java/org/goldcrestfall/standin/answer/CompletionJson.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/answer/CompletionJson.java
@@ -21,6 +21,8 @@
     this.model = quote(model);
     this.eventStart =
         "data: {\"id\":"
+            + id
+            + ",\"request_id\":"
             + id
             + ",\"object\":\"chat.completion.chunk\",\"model\":"
             + this.model
@@ -36,7 +38,7 @@
 
   /** Appends the last event with the usage, and the end of the stream. */
   public void appendEnd(StringBuilder out, String finishReason, int promptTokens, int tokens) {
-    out.append("data: {\"id\":").append(id);
+    out.append("data: {\"id\":").append(id).append(",\"request_id\":").append(id);
     out.append(",\"object\":\"chat.completion.chunk\",\"model\":").append(model);
     out.append(",\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"");
     out.append(finishReason).append("\"}],\"usage\":");
--- a/standin/src/main/java/org/goldcrestfall/standin/answer/Prompt.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/answer/Prompt.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.standin.answer;
 
+import com.fasterxml.jackson.databind.node.TextNode;
 import com.google.common.base.Utf8;
 import com.google.common.hash.Hasher;
 import com.google.common.hash.Hashing;
@@ -29,11 +30,12 @@
     return tokens;
   }
 
-  /** Returns the text whose blocks the prefix cache holds: role and content, each on a line. */
+  /** Returns the text whose blocks the prefix cache holds, in the form that routers hash. */
   public String text() {
     StringBuilder text = new StringBuilder();
     for (Message message : messages) {
-      text.append(message.role()).append('\n').append(message.content()).append('\n');
+      text.append(message.role()).append('\n');
+      text.append(TextNode.valueOf(message.content())).append('\n');
     }
     return text.toString();
   }
--- a/standin/src/main/java/org/goldcrestfall/standin/call/CallOptions.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/call/CallOptions.java
@@ -35,6 +35,11 @@
       description = "Repeat until every URL answers with this status; prints no body")
   public int untilStatus = 0;
 
+  @Parameter(
+      names = "--until-contains",
+      description = "With --until-status: text that every body must contain; may be repeated")
+  public List<String> untilContains = new ArrayList<>();
+
   @Parameter(names = "--timeout-seconds", description = "Limit for the whole call")
   public long timeoutSeconds = 30;
 
--- a/standin/src/main/java/org/goldcrestfall/standin/call/Calls.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/call/Calls.java
@@ -18,6 +18,7 @@
 /** Single requests for scripts. The exit code is 0 if the answer is as expected, otherwise 1. */
 public final class Calls {
 
+  private static final long POLL_TIMEOUT_SECONDS = 2;
   private static final Duration POLL_INTERVAL = Duration.ofMillis(100);
 
   private final HttpClient http = ChatClient.newHttpClient(Runnable::run);
@@ -64,7 +65,13 @@
     ChatReply reply = client.send(options.server, call).join();
     out.println(reply.check().text().strip());
     if (reply.check().isWhole()) {
-      err.println("whole answer: " + reply.check().tokens() + " tokens, id " + reply.requestId());
+      err.println(
+          "whole answer: prompt_tokens="
+              + call.prompt().tokens()
+              + " completion_tokens="
+              + reply.check().tokens()
+              + " request_id="
+              + reply.requestId());
       return 0;
     }
     String problem = reply.check().isWrong() ? reply.check().problem() : "" + reply.error();
@@ -90,7 +97,9 @@
 
   private boolean hasStatus(CallOptions options, String url) {
     try {
-      return send(options, url, 2).statusCode() == options.untilStatus;
+      HttpResponse<String> response = send(options, url, POLL_TIMEOUT_SECONDS);
+      return response.statusCode() == options.untilStatus
+          && options.untilContains.stream().allMatch(response.body()::contains);
     } catch (IOException e) {
       return false;
     } catch (InterruptedException e) {
