Check the log protocol under generated faults

Cause: the promises of the log must hold under kills, lost disks, partitions, freezes and messages that are dropped, duplicated and reordered. Change: properties over three and five members with fake disks and a network in the test's hands.

--- a/core/src/main/java/org/goldcrestfall/core/consensus/Consensus.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Consensus.java
@@ -22,7 +22,11 @@
    * @param seed the seed of the election timeouts
    */
   public Consensus(String self, Stored stored, Timing timing, long seed, long nowMillis) {
-    replica = new Replica(self, stored, timing, seed, nowMillis);
+    this(self, stored, timing, Limits.DEFAULT, seed, nowMillis);
+  }
+
+  Consensus(String self, Stored stored, Timing timing, Limits limits, long seed, long nowMillis) {
+    replica = new Replica(self, stored, timing, limits, seed, nowMillis);
     follower = new Follower(replica);
     election = new Election(replica);
   }
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Leader.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Leader.java
@@ -10,8 +10,6 @@
 /** The sending side of replication in one term: heartbeats, entries, snapshots, lease and reads. */
 final class Leader {
 
-  private static final long MAX_APPEND_BYTES = 1 << 20;
-  private static final int CHUNK_BYTES = 256 << 10;
   private static final int RESEND_HEARTBEATS = 3;
 
   private record PendingRead(long id, long round) {}
@@ -206,7 +204,7 @@
     if (p.next > replica.log.lastIndex()) {
       return false;
     }
-    List<Entry> entries = replica.log.from(p.next, MAX_APPEND_BYTES);
+    List<Entry> entries = replica.log.from(p.next);
     sendEntries(id, p.next - 1, entries);
     p.inFlight = p.next + entries.size() - 1;
     p.next = p.inFlight + 1;
@@ -234,7 +232,7 @@
       p.offset = 0;
     }
     byte[] data = p.snapshot.data();
-    int end = Math.min(data.length, p.offset + CHUNK_BYTES);
+    int end = Math.min(data.length, p.offset + replica.limits.chunkBytes());
     replica.sendAfterSync(
         new Message.SnapshotChunk(
             replica.self,
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Log.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Log.java
@@ -10,15 +10,15 @@
 /** The part of the log in memory: the entries after a base, and the member lists among them. */
 final class Log {
 
-  private static final int RETAINED_ENTRIES = 1_000;
-
+  private final Limits limits;
   private Snapshot snapshot;
   private long baseIndex;
   private long baseTerm;
   private final List<Entry> entries = new ArrayList<>();
   private final TreeMap<Long, Members> members = new TreeMap<>();
 
-  Log(Snapshot snapshot, List<Entry> stored) {
+  Log(Snapshot snapshot, List<Entry> stored, Limits limits) {
+    this.limits = limits;
     reset(snapshot);
     stored.forEach(this::append);
   }
@@ -51,11 +51,11 @@
     return entries.get((int) (index - baseIndex - 1));
   }
 
-  /** Returns the entries from an index on, at least one if there is one, up to {@code maxBytes}. */
-  List<Entry> from(long index, long maxBytes) {
+  /** Returns the entries from an index on, at least one if there is one, up to a size. */
+  List<Entry> from(long index) {
     int start = (int) (index - baseIndex - 1);
     int end = start;
-    for (long bytes = 0; end < entries.size() && bytes < maxBytes; end++) {
+    for (long bytes = 0; end < entries.size() && bytes < limits.appendBytes(); end++) {
       bytes += entries.get(end).payload().length + 32L;
     }
     return List.copyOf(entries.subList(start, end));
@@ -87,7 +87,7 @@
   /** Drops entries that a snapshot covers, except the last ones, which serve slow followers. */
   void compact(Snapshot next) {
     snapshot = next;
-    long base = next.lastIndex() - RETAINED_ENTRIES;
+    long base = next.lastIndex() - limits.retainedEntries();
     if (base <= baseIndex) {
       return;
     }
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Replica.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Replica.java
@@ -20,6 +20,7 @@
 
   final String self;
   final Timing timing;
+  final Limits limits;
   final Log log;
   private final UniformRandomProvider random;
   private final Deque<Waiting> waiting = new ArrayDeque<>();
@@ -39,11 +40,12 @@
   long electionAt;
   long now;
 
-  Replica(String self, Stored stored, Timing timing, long seed, long nowMillis) {
+  Replica(String self, Stored stored, Timing timing, Limits limits, long seed, long nowMillis) {
+    this.limits = limits;
     this.self = self;
     this.timing = timing;
     random = RandomSource.SPLIT_MIX_64.create(seed);
-    log = new Log(stored.snapshot(), stored.entries());
+    log = new Log(stored.snapshot(), stored.entries(), limits);
     hardState = stored.hardState();
     if (log.lastTerm() > hardState.term()) {
       hardState = new HardState(log.lastTerm(), "");
--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/FakeGroup.java
@@ -0,0 +1,208 @@
+package org.goldcrestfall.core.consensus;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Objects;
+import java.util.Random;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.goldcrestfall.core.common.ManualClock;
+
+/** Members over fake disks and a network that a test holds in its hands. */
+final class FakeGroup {
+
+  static final Timing TIMING = new Timing(20, 150, 300, 120);
+  private static final Limits LIMITS = new Limits(150, 24, 3);
+
+  /** A message under way, or a request to join where {@code message} is null. */
+  record Flight(int from, int to, Message message, Member joining) {}
+
+  final Observations seen = new Observations();
+  final List<FakeHost> hosts = new ArrayList<>();
+  final List<Flight> flights = new ArrayList<>();
+  final Set<Integer> cutOff = new HashSet<>();
+  final ManualClock clock = new ManualClock(1_000);
+  final Random random;
+  private int commands;
+
+  FakeGroup(int count, long seed) {
+    random = new Random(seed);
+    Members founders =
+        Members.of(
+            IntStream.range(0, count)
+                .mapToObj(i -> new Member(FakeHost.idOf(i, 1), "h" + i, "address", true))
+                .toList());
+    for (int i = 0; i < count; i++) {
+      FakeHost host = new FakeHost(i, founders);
+      host.clockOffset = random.nextInt(100_000);
+      hosts.add(host);
+      start(host);
+    }
+  }
+
+  FakeHost anyHost() {
+    return hosts.get(random.nextInt(hosts.size()));
+  }
+
+  void start(FakeHost host) {
+    if (!host.isLive()) {
+      host.start(TIMING, LIMITS, random.nextLong(), clock.nowMillis());
+    }
+  }
+
+  void handle(FakeHost host, Event event) {
+    if (event == null || !host.isLive() || host.frozen) {
+      return;
+    }
+    perform(host, host.consensus.apply(event, clock.nowMillis() + host.clockOffset));
+    seen.leads(host.consensus);
+  }
+
+  private void perform(FakeHost host, List<Effect> effects) {
+    for (Effect effect : effects) {
+      if (effect instanceof Effect.Send e) {
+        int to = FakeHost.hostOf(e.message().to());
+        flights.add(new Flight(host.number, to, e.message(), null));
+      } else if (effect instanceof Effect.Persist e) {
+        seen.writes(e.entries());
+        host.unsynced.add(e);
+      } else if (effect instanceof Effect.Apply e) {
+        seen.applies(e.entry());
+        int position = host.apply(e.entry());
+        if (e.proposal() != 0) {
+          seen.acknowledges(e.proposal(), position);
+        }
+      } else if (effect instanceof Effect.Restore e) {
+        host.restore(e.snapshot());
+      } else if (effect instanceof Effect.ProposalFailed e && !e.unknown()) {
+        seen.refuses(e.id());
+      } else if (effect instanceof Effect.ReadReady e) {
+        seen.returnsRead(e.id(), host.commands.size());
+      }
+    }
+  }
+
+  void propose(FakeHost host) {
+    if (host.isLive() && !host.frozen) {
+      String command = "c" + ++commands;
+      handle(host, new Event.Propose(seen.invokes(command), command.getBytes(UTF_8)));
+    }
+  }
+
+  void read(FakeHost host) {
+    if (host.isLive() && !host.frozen) {
+      handle(host, new Event.Read(seen.invokes(null)));
+    }
+  }
+
+  void sync(FakeHost host) {
+    if (host.isLive() && !host.frozen) {
+      handle(host, host.sync());
+    }
+  }
+
+  void compact(FakeHost host) {
+    if (host.isLive() && !host.frozen && host.applied > 0) {
+      Snapshot snapshot = host.capture();
+      sync(host);
+      if (snapshot.lastTerm() > 0) {
+        host.unsynced.add(snapshot);
+        handle(host, new Event.SnapshotTaken(snapshot));
+        sync(host);
+      }
+    }
+  }
+
+  /** Delivers a message, unless its hosts cannot reach each other or the receiver is down. */
+  void deliver(Flight flight) {
+    FakeHost host = hosts.get(flight.to());
+    if (cutOff.contains(flight.from()) != cutOff.contains(flight.to())) {
+      return;
+    }
+    if (host.frozen) {
+      flights.add(flight);
+    } else if (flight.joining() != null) {
+      handle(host, new Event.Join(flight.joining()));
+    } else {
+      handle(host, new Event.Received(flight.message()));
+    }
+  }
+
+  void advance(long millis) {
+    clock.advance(millis);
+    for (FakeHost host : hosts) {
+      handle(host, new Event.Tick());
+      if (host.isLive() && host.consensus.members().find(host.id).isEmpty()) {
+        Member self = new Member(host.id, "h" + host.number, "address", false);
+        hosts.forEach(to -> flights.add(new Flight(host.number, to.number, null, self)));
+      }
+    }
+  }
+
+  /** Lets everything run without faults for a time. */
+  void run(long millis) {
+    for (long i = 0; i < millis; i += 5) {
+      advance(5);
+      for (int round = 0; round < 6; round++) {
+        hosts.forEach(this::sync);
+        List<Flight> batch = List.copyOf(flights);
+        flights.clear();
+        batch.forEach(this::deliver);
+      }
+    }
+  }
+
+  /** Ends all faults, and checks that the group works again and has lost nothing. */
+  void recover() {
+    cutOff.clear();
+    hosts.forEach(h -> h.frozen = false);
+    hosts.forEach(this::start);
+    int replies = seen.replies;
+    int reads = seen.reads;
+    for (int i = 0; i < 200 && (replies == seen.replies || reads == seen.reads); i++) {
+      run(50);
+      hosts.forEach(this::propose);
+      hosts.forEach(this::read);
+    }
+    run(1_000);
+    assertThat(seen.replies).as("replies after all faults ended").isGreaterThan(replies);
+    assertThat(seen.reads).as("reads after all faults ended").isGreaterThan(reads);
+    assertThat(hosts).as("repaired hosts").allMatch(this::isRepaired);
+    for (FakeHost a : hosts) {
+      assertThat(a.commands).isEqualTo(hosts.get(0).commands);
+      hosts.forEach(b -> seen.compareLogs(a.consensus, b.consensus));
+    }
+  }
+
+  FakeHost leader() {
+    return hosts.stream()
+        .filter(FakeHost::isLive)
+        .filter(h -> h.consensus.role() == Role.LEADER)
+        .filter(h -> !cutOff.contains(h.number))
+        .findFirst()
+        .orElse(null);
+  }
+
+  /** Returns whether a member knows a committed member list in which the host has its vote. */
+  boolean isRepaired(FakeHost host) {
+    return hosts.stream()
+        .map(h -> h.consensus)
+        .filter(Objects::nonNull)
+        .anyMatch(c -> c.membersAt(c.commitIndex()).isVoter(host.id));
+  }
+
+  /** Returns whether another disk may be lost without the loss of a majority. */
+  boolean canLoseDisk(FakeHost host) {
+    long without = hosts.stream().filter(h -> h != host && !isRepaired(h)).count();
+    return without + 1 <= (hosts.size() - 1) / 2;
+  }
+
+  void loseDisk(FakeHost host) {
+    host.loseDisk();
+    start(host);
+  }
+}
