Add membership, the upstream directory and the configuration follower

Cause: routers must find each other, share what upstreams announce and follow the configuration without shared clocks and also while hosts are cut off. Change: core.membership holds a SWIM-like failure detector, the directory of upstreams and a bound of message transit time from echoed clock stamps, so that a late message cannot make an old announcement look young. core.config counts a revision as checked only by a majority of the control members. daemon.peer runs them on one thread over PeerTransport and stores the view. peer.proto gains a one-way gossip message, stamps, digest and the check age of a configuration.

--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/peer/ConfigCodec.java
@@ -0,0 +1,67 @@
+package org.goldcrestfall.daemon.peer;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.goldcrestfall.core.config.ConfigAnswer;
+import org.goldcrestfall.core.control.ConfigChange;
+import org.goldcrestfall.core.control.ConfigView;
+import org.goldcrestfall.wire.generated.Body;
+import org.goldcrestfall.wire.generated.ConfigReply;
+import org.goldcrestfall.wire.generated.ConfigRequest;
+
+/** Messages and JSON of the configuration. */
+final class ConfigCodec {
+
+  /** Accepts fields of newer versions, so that daemons can be upgraded one by one. */
+  private static final JsonMapper JSON =
+      JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+
+  private ConfigCodec() {}
+
+  static byte[] write(Object value) {
+    try {
+      return JSON.writeValueAsBytes(value);
+    } catch (JsonProcessingException e) {
+      throw new IllegalArgumentException("cannot be written as JSON: " + value.getClass(), e);
+    }
+  }
+
+  static ConfigView readView(byte[] json) throws IOException {
+    return JSON.readValue(json, ConfigView.class);
+  }
+
+  static Body request(long revision) {
+    var r = ConfigRequest.newBuilder().setRevision(revision);
+    return Body.newBuilder().setConfigRequest(r).build();
+  }
+
+  static Body reply(ConfigAnswer answer) {
+    ConfigReply.Builder r =
+        ConfigReply.newBuilder()
+            .setRevision(answer.revision())
+            .setConfirmed(answer.confirmed())
+            .setConfirmedAgeMillis(answer.confirmedAgeMillis());
+    for (ConfigChange c : answer.changes()) {
+      r.addChanges(ByteString.copyFrom(write(c)));
+    }
+    if (answer.view() != null) {
+      r.setView(ByteString.copyFrom(write(answer.view())));
+    }
+    return Body.newBuilder().setConfigReply(r).build();
+  }
+
+  static ConfigAnswer answer(ConfigReply reply) throws IOException {
+    List<ConfigChange> changes = new ArrayList<>();
+    for (ByteString c : reply.getChangesList()) {
+      changes.add(JSON.readValue(c.toByteArray(), ConfigChange.class));
+    }
+    ConfigView view = reply.getView().isEmpty() ? null : readView(reply.getView().toByteArray());
+    return new ConfigAnswer(
+        reply.getRevision(), changes, view, reply.getConfirmed(), reply.getConfirmedAgeMillis());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/peer/ConfigService.java
@@ -0,0 +1,208 @@
+package org.goldcrestfall.daemon.peer;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import java.io.IOException;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.config.ConfigAnswer;
+import org.goldcrestfall.core.config.ConfigEffect;
+import org.goldcrestfall.core.config.ConfigFollower;
+import org.goldcrestfall.core.control.ConfigChange;
+import org.goldcrestfall.core.control.ConfigView;
+import org.goldcrestfall.wire.PeerTransport;
+import org.goldcrestfall.wire.generated.Body;
+
+/**
+ * Runs {@link ConfigFollower} over the transport and stores views. A view is stored before it is
+ * served; storing has its own thread, so that a slow disk does not delay the answers to probes.
+ */
+final class ConfigService implements AutoCloseable {
+
+  private static final long CALL_TIMEOUT_MILLIS = 900;
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final PeerTransport transport;
+  private final MillisClock clock;
+  private final ConfigSource source;
+  private final Consumer<Runnable> peerThread;
+  private final Consumer<ConfigView> observer;
+  private final ConfigFollower follower;
+  private final ConfigFile file;
+  private final ExecutorService storage;
+  private boolean warned;
+  private volatile ConfigView served;
+  private volatile boolean confirmed;
+  private volatile long checkedAt;
+
+  ConfigService(
+      PeerOptions options,
+      PeerTransport transport,
+      MillisClock clock,
+      ConfigSource source,
+      Consumer<Runnable> peerThread,
+      Consumer<ConfigView> observer)
+      throws IOException {
+    this.transport = transport;
+    this.clock = clock;
+    this.source = source;
+    this.peerThread = peerThread;
+    this.observer = observer;
+    file = options.dataFolder() == null ? null : new ConfigFile(options.dataFolder());
+    served = file == null ? ConfigView.EMPTY : file.load();
+    storage =
+        Executors.newSingleThreadExecutor(
+            new ThreadFactoryBuilder()
+                .setNameFormat("peer-storage-" + options.host())
+                .setDaemon(true)
+                .build());
+    long now = clock.nowMillis();
+    checkedAt = now;
+    follower =
+        new ConfigFollower(
+            options.address(), options.controlMembers(), served, options.seed(), now);
+  }
+
+  void start() {
+    transport.handle(
+        Body.KindCase.CONFIG_REQUEST,
+        (sender, body) -> {
+          CompletableFuture<Body> reply = new CompletableFuture<>();
+          long revision = body.getConfigRequest().getRevision();
+          peerThread.accept(
+              () -> {
+                long now = clock.nowMillis();
+                readSource(now);
+                reply.complete(ConfigCodec.reply(follower.answerFor(revision, now)));
+              });
+          return reply;
+        });
+    if (served.revision() > 0) {
+      peerThread.accept(() -> observer.accept(served));
+    }
+  }
+
+  ConfigView view() {
+    return served;
+  }
+
+  boolean confirmed() {
+    return confirmed;
+  }
+
+  long ageMillis() {
+    return clock.nowMillis() - checkedAt;
+  }
+
+  /** Returns the revision of the control member in this process, or 0. */
+  long sourceRevision() {
+    return source == null ? 0 : served.revision();
+  }
+
+  void tick(Set<String> peers, long now) {
+    readSource(now);
+    follower.setPeers(peers);
+    run(follower.tick(now), now);
+    warn(now);
+  }
+
+  void learn(String address, long revision, long now) {
+    run(follower.learn(address, revision, now), now);
+  }
+
+  private void readSource(long now) {
+    if (source == null) {
+      return;
+    }
+    ConfigView view = source.view();
+    long known = follower.view().revision();
+    List<ConfigChange> changes = view.revision() > known ? source.changesAfter(known) : List.of();
+    ConfigView whole = changes == null ? view : null;
+    List<ConfigChange> some = changes == null ? List.of() : changes;
+    run(follower.local(new ConfigAnswer(view.revision(), some, whole, false, 0), now), now);
+  }
+
+  private void run(List<ConfigEffect> effects, long now) {
+    for (ConfigEffect e : effects) {
+      if (e instanceof ConfigEffect.Ask a) {
+        ask(a);
+      } else if (e instanceof ConfigEffect.Changed c) {
+        store(c.view());
+      }
+    }
+    confirmed = follower.confirmed();
+    checkedAt = now - follower.checkAgeMillis(now);
+  }
+
+  private void ask(ConfigEffect.Ask ask) {
+    transport
+        .call(ask.address(), ConfigCodec.request(ask.revision()), CALL_TIMEOUT_MILLIS)
+        .whenComplete((body, e) -> peerThread.accept(() -> receive(ask, body)));
+  }
+
+  private void receive(ConfigEffect.Ask ask, Body body) {
+    long now = clock.nowMillis();
+    if (body == null || !body.hasConfigReply()) {
+      run(follower.fail(ask.id(), now), now);
+      return;
+    }
+    try {
+      ConfigAnswer answer = ConfigCodec.answer(body.getConfigReply());
+      run(follower.answer(ask.id(), answer, now), now);
+    } catch (IOException | IllegalArgumentException e) {
+      logger.atWarning().withCause(e).atMostEvery(10, TimeUnit.SECONDS).log(
+          "peer: bad configuration from %s", ask.address());
+      run(follower.fail(ask.id(), now), now);
+    }
+  }
+
+  private void store(ConfigView view) {
+    if (file == null) {
+      serve(view);
+      return;
+    }
+    try {
+      storage.execute(
+          () -> {
+            try {
+              file.save(view);
+            } catch (IOException e) {
+              logger.atSevere().withCause(e).atMostEvery(10, TimeUnit.SECONDS).log(
+                  "peer: configuration %s is served but not stored", view.revision());
+            }
+            peerThread.accept(() -> serve(view));
+          });
+    } catch (RejectedExecutionException e) {
+      logger.atFine().log("peer: service is closed");
+    }
+  }
+
+  private void serve(ConfigView view) {
+    if (view.revision() > served.revision()) {
+      served = view;
+      observer.accept(view);
+    }
+  }
+
+  private void warn(long now) {
+    boolean old = follower.checkAgeMillis(now) > ConfigFollower.MAX_CHECK_AGE_MILLIS;
+    if (old && !warned) {
+      logger.atWarning().log(
+          "peer: revision %s was not checked for %s ms; serving on",
+          served.revision(), follower.checkAgeMillis(now));
+    }
+    warned = old;
+  }
+
+  @Override
+  public void close() {
+    storage.shutdown();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/peer/PeerService.java
@@ -0,0 +1,365 @@
+package org.goldcrestfall.daemon.peer;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.common.util.concurrent.ThreadFactoryBuilder;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.Executors;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.control.ConfigView;
+import org.goldcrestfall.core.membership.Member;
+import org.goldcrestfall.core.membership.Member.Status;
+import org.goldcrestfall.core.membership.Membership;
+import org.goldcrestfall.core.membership.MembershipEffect;
+import org.goldcrestfall.core.membership.MembershipMessage;
+import org.goldcrestfall.core.membership.UpstreamAnnouncement;
+import org.goldcrestfall.core.membership.UpstreamSnapshot;
+import org.goldcrestfall.wire.PeerTransport;
+import org.goldcrestfall.wire.generated.Body;
+import org.goldcrestfall.wire.generated.Gossip;
+
+/**
+ * Membership, upstream dissemination and configuration of one daemon. All state is confined to one
+ * thread; readers on other threads get immutable snapshots.
+ */
+public final class PeerService implements AutoCloseable {
+
+  static final long TICK_MILLIS = 100;
+  private static final long PING_TIMEOUT_MILLIS = 2000;
+  private static final long STAMP_INTERVAL_MILLIS = 500;
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final PeerOptions options;
+  private final PeerTransport transport;
+  private final MillisClock clock;
+  private final ScheduledExecutorService executor;
+  private final Membership membership;
+  private final Dissemination dissemination;
+  private final ConfigService config;
+  private final Map<String, CompletableFuture<Body>> unreplied = new HashMap<>();
+  private final Map<String, Long> stampSentAt = new HashMap<>();
+  private final List<PeerListener> listeners = new CopyOnWriteArrayList<>();
+  private long announcedRevision;
+  private volatile List<Member> members = List.of();
+  private volatile UpstreamSnapshot upstreams = UpstreamSnapshot.EMPTY;
+  private volatile Map<String, Map<String, Long>> rates = Map.of();
+
+  /**
+   * Creates a service that is not running yet.
+   *
+   * @param source configuration of the control member in this process, or null
+   * @throws IOException if the configuration on disk cannot be read
+   */
+  public PeerService(
+      PeerOptions options, PeerTransport transport, MillisClock clock, ConfigSource source)
+      throws IOException {
+    this.options = options;
+    this.transport = transport;
+    this.clock = clock;
+    executor =
+        Executors.newSingleThreadScheduledExecutor(
+            new ThreadFactoryBuilder().setNameFormat("peer-" + options.host()).build());
+    long now = clock.nowMillis();
+    Member self =
+        new Member(options.host(), 0, 0, Status.ALIVE, options.address(), options.zone(), 0);
+    membership = new Membership(self, options.seeds(), options.seed(), now);
+    dissemination =
+        new Dissemination(
+            options.host(),
+            (int) (options.seed() ^ options.seed() >>> 32),
+            a -> listeners.forEach(l -> l.upstreamAnnounced(a)));
+    config =
+        new ConfigService(options, transport, clock, source, this::execute, this::configChanged);
+    members = membership.members();
+  }
+
+  /** Registers the message handlers and starts the thread. */
+  public void start() {
+    for (Body.KindCase kind :
+        List.of(Body.KindCase.PING, Body.KindCase.PING_REQUEST, Body.KindCase.GOSSIP)) {
+      transport.handle(kind, this::receive);
+    }
+    config.start();
+    executor.scheduleAtFixedRate(guard(this::tick), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Adds a listener. */
+  public void addListener(PeerListener listener) {
+    listeners.add(listener);
+  }
+
+  /** Sets the incarnation that the control group has issued. */
+  public void identify(Incarnation incarnation) {
+    transport.identify(incarnation);
+    execute(
+        () -> {
+          membership.identify(incarnation.boot());
+          dissemination.identify(incarnation.boot());
+          members = membership.members();
+        });
+  }
+
+  /** Returns all known members with this one, dead and left ones included. */
+  public List<Member> members() {
+    return members;
+  }
+
+  /** Returns the revision that each live host serves from. */
+  public Map<String, Long> hostRevisions() {
+    Map<String, Long> revisions = new TreeMap<>();
+    for (Member m : members) {
+      if (m.live()) {
+        revisions.put(m.host(), m.configRevision());
+      }
+    }
+    return revisions;
+  }
+
+  /** Returns the upstreams; see {@link UpstreamSnapshot#routable} for those to give work. */
+  public UpstreamSnapshot upstreams() {
+    return upstreams;
+  }
+
+  /** Takes in an announcement of an upstream; completes with whether it was newer. */
+  public CompletableFuture<Boolean> announce(UpstreamAnnouncement announcement) {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          boolean accepted = dissemination.announce(announcement, clock.nowMillis());
+          upstreams = dissemination.upstreams();
+          push();
+          return accepted;
+        },
+        executor);
+  }
+
+  /** Returns the configuration to serve from. */
+  public ConfigView configView() {
+    return config.view();
+  }
+
+  /** Returns whether the configuration was checked with the control group since the start. */
+  public boolean configConfirmed() {
+    return config.confirmed();
+  }
+
+  /** Returns the time since the revision was last checked, or since the start. */
+  public long configAgeMillis() {
+    return config.ageMillis();
+  }
+
+  /** Publishes this router's recent use of a limit, in requests a second times 1,000. */
+  public void publishUsage(String limit, long milliRate) {
+    execute(() -> dissemination.publishUsage(limit, milliRate));
+  }
+
+  /** Returns the recent use of a limit by host, in requests a second times 1,000. */
+  public Map<String, Long> usageOf(String limit) {
+    return rates.getOrDefault(limit, Map.of());
+  }
+
+  /** Tells the others that this member leaves; completes once some of them know. */
+  public CompletableFuture<Void> leave() {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    execute(
+        () -> {
+          List<CompletableFuture<Body>> calls = new ArrayList<>();
+          for (MembershipEffect e : membership.leave()) {
+            if (e instanceof MembershipEffect.Send s) {
+              calls.add(call(s));
+            }
+          }
+          members = membership.members();
+          CompletableFuture.allOf(calls.toArray(new CompletableFuture<?>[0]))
+              .whenComplete((v, e) -> done.complete(null));
+        });
+    return done;
+  }
+
+  @Override
+  public void close() {
+    executor.shutdownNow();
+    config.close();
+  }
+
+  private void execute(Runnable task) {
+    try {
+      executor.execute(guard(task));
+    } catch (RejectedExecutionException e) {
+      logger.atFine().log("peer: service is closed");
+    }
+  }
+
+  /** An exception must not end the thread or its schedule. */
+  private static Runnable guard(Runnable task) {
+    return () -> {
+      try {
+        task.run();
+      } catch (RuntimeException e) {
+        logger.atSevere().withCause(e).atMostEvery(1, TimeUnit.SECONDS).log(
+            "peer: an event failed");
+      }
+    };
+  }
+
+  private void tick() {
+    long now = clock.nowMillis();
+    run(membership.tick(now), now);
+    dissemination.tick(now);
+    Set<String> peers = new HashSet<>();
+    membership.livePeers().forEach(m -> peers.add(m.address()));
+    config.tick(peers, now);
+    push();
+    upstreams = dissemination.upstreams();
+    rates = dissemination.rates();
+  }
+
+  private CompletableFuture<Body> receive(Incarnation sender, Body body) {
+    CompletableFuture<Body> reply = new CompletableFuture<>();
+    execute(
+        () -> {
+          try {
+            receiveOnThread(sender.host(), body, reply);
+          } catch (IllegalArgumentException e) {
+            reply.completeExceptionally(e);
+          }
+        });
+    return reply;
+  }
+
+  private void receiveOnThread(String host, Body body, CompletableFuture<Body> reply) {
+    Gossip g = MembershipCodec.carried(body);
+    if (!g.getSelf().getHost().equals(host)) {
+      throw new IllegalArgumentException("record of " + g.getSelf().getHost() + " from " + host);
+    }
+    long now = clock.nowMillis();
+    receiveGossip(host, g, body.hasGossip(), now);
+    if (body.hasGossip()) {
+      reply.complete(null);
+      return;
+    }
+    MembershipMessage message = MembershipCodec.read(body);
+    CompletableFuture<Body> older = unreplied.put(host + "/" + message.number(), reply);
+    if (older != null) {
+      older.completeExceptionally(new TimeoutException("replaced by a repeated request"));
+    }
+    run(membership.receive(message, now), now);
+  }
+
+  private void receiveGossip(String host, Gossip g, boolean oneWay, long now) {
+    boolean wantsStamp = dissemination.receive(host, g, now);
+    upstreams = dissemination.upstreams();
+    String address = g.getSelf().getAddress();
+    config.learn(address, g.getConfigRevision(), now);
+    boolean rested =
+        now - stampSentAt.getOrDefault(host, -STAMP_INTERVAL_MILLIS) >= STAMP_INTERVAL_MILLIS;
+    if (oneWay && wantsStamp && rested) {
+      stampSentAt.put(host, now);
+      sendGossip(address, host, Gossip.newBuilder(), now);
+    }
+  }
+
+  private void run(List<MembershipEffect> effects, long now) {
+    boolean changed = false;
+    for (MembershipEffect e : effects) {
+      if (e instanceof MembershipEffect.Send s) {
+        call(s);
+      } else if (e instanceof MembershipEffect.Reply r) {
+        var reply = unreplied.remove(r.host() + "/" + r.ack().number());
+        if (reply != null) {
+          reply.complete(body(r.ack(), r.host(), now));
+        }
+      } else if (e instanceof MembershipEffect.Changed c) {
+        changed = true;
+        memberChanged(c);
+      }
+    }
+    if (changed) {
+      members = membership.members();
+    }
+  }
+
+  private void memberChanged(MembershipEffect.Changed c) {
+    Member m = c.after();
+    if (c.before() == null || c.before().status() != m.status()) {
+      logger.atInfo().log("peer: member %s at %s is %s", m.incarnation(), m.address(), m.status());
+    }
+    if (!m.live()) {
+      dissemination.forget(m.host());
+      stampSentAt.remove(m.host());
+    }
+    listeners.forEach(l -> l.memberChanged(m));
+  }
+
+  private CompletableFuture<Body> call(MembershipEffect.Send s) {
+    long now = clock.nowMillis();
+    String receiver = null;
+    for (Member m : membership.livePeers()) {
+      if (m.address().equals(s.address())) {
+        receiver = m.host();
+      }
+    }
+    Body body = body(s.message(), receiver, now);
+    var call = transport.call(s.address(), body, PING_TIMEOUT_MILLIS);
+    call.thenAccept(b -> execute(() -> receiveAck(b)));
+    return call;
+  }
+
+  private void receiveAck(Body body) {
+    if (!body.hasAck() || body.getAck().getGossip().getSelf().getHost().isEmpty()) {
+      return;
+    }
+    long now = clock.nowMillis();
+    Gossip g = body.getAck().getGossip();
+    receiveGossip(g.getSelf().getHost(), g, false, now);
+    run(membership.receive(MembershipCodec.read(body), now), now);
+  }
+
+  private Body body(MembershipMessage message, String receiver, long now) {
+    Gossip.Builder g = Gossip.newBuilder().setConfigRevision(config.view().revision());
+    g.setFull(message.gossip().full());
+    dissemination.compose(g, receiver, membership.livePeers().size() + 1, now);
+    return MembershipCodec.write(message, g);
+  }
+
+  /** Sends new announcements, use of limits and a new revision to every live peer. */
+  private void push() {
+    long now = clock.nowMillis();
+    Gossip.Builder g = dissemination.nextPush(now);
+    long revision = config.sourceRevision();
+    boolean newer = revision > announcedRevision;
+    if (g.getUpstreamsCount() == 0 && g.getUsageCount() == 0 && !newer) {
+      return;
+    }
+    announcedRevision = Math.max(announcedRevision, revision);
+    Gossip updates = g.build();
+    for (Member m : membership.livePeers()) {
+      sendGossip(m.address(), m.host(), updates.toBuilder(), now);
+    }
+  }
+
+  private void sendGossip(String address, String host, Gossip.Builder g, long now) {
+    dissemination.addStamps(g, host, now);
+    g.setConfigRevision(config.view().revision());
+    MembershipCodec.addSelf(membership.self(), g);
+    transport.send(address, Body.newBuilder().setGossip(g).build());
+  }
+
+  private void configChanged(ConfigView view) {
+    membership.setConfigRevision(view.revision());
+    members = membership.members();
+    listeners.forEach(l -> l.configChanged(view));
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/peer/UpstreamCodec.java
@@ -0,0 +1,78 @@
+package org.goldcrestfall.daemon.peer;
+
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.ByteString;
+import java.io.IOException;
+import java.util.concurrent.TimeUnit;
+import org.goldcrestfall.core.membership.TransitClock.Echo;
+import org.goldcrestfall.core.membership.TransitClock.Stamp;
+import org.goldcrestfall.core.membership.UpstreamAnnouncement;
+import org.goldcrestfall.core.membership.UpstreamDirectory.Delta;
+import org.goldcrestfall.core.membership.UsageTable.Usage;
+import org.goldcrestfall.wire.generated.Gossip;
+import org.goldcrestfall.wire.generated.UpstreamUpdate;
+import org.goldcrestfall.wire.generated.UsageUpdate;
+
+/** Upstreams, stamps and usage inside gossip. */
+final class UpstreamCodec {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final JsonMapper JSON =
+      JsonMapper.builder().disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES).build();
+
+  /** Tags, lengths and age of an update. */
+  private static final int UPDATE_BYTES = 12;
+
+  private UpstreamCodec() {}
+
+  static int encodedBytes(UpstreamAnnouncement a) {
+    return ConfigCodec.write(a).length + UPDATE_BYTES;
+  }
+
+  static UpstreamUpdate update(Delta d) {
+    return UpstreamUpdate.newBuilder()
+        .setAnnouncement(ByteString.copyFrom(ConfigCodec.write(d.announcement())))
+        .setAgeMillis(d.ageMillis())
+        .build();
+  }
+
+  /** Returns the announcement, or null if it is invalid. */
+  static UpstreamAnnouncement announcement(UpstreamUpdate update) {
+    try {
+      return JSON.readValue(update.getAnnouncement().toByteArray(), UpstreamAnnouncement.class);
+    } catch (IOException | IllegalArgumentException e) {
+      logger.atWarning().withCause(e).atMostEvery(10, TimeUnit.SECONDS).log(
+          "peer: ignored an invalid announcement");
+      return null;
+    }
+  }
+
+  static void addStamps(Gossip.Builder out, Stamp stamp, Echo echo) {
+    out.setClockId(stamp.clockId()).setStamp(stamp.millis());
+    if (echo != null) {
+      out.setEchoClockId(echo.stamp().clockId());
+      out.setEchoStamp(echo.stamp().millis()).setEchoHeldMillis(echo.heldMillis());
+    }
+  }
+
+  static Stamp stamp(Gossip g) {
+    return new Stamp(g.getClockId(), g.getStamp());
+  }
+
+  static Echo echo(Gossip g) {
+    return g.getEchoClockId() == 0
+        ? null
+        : new Echo(new Stamp(g.getEchoClockId(), g.getEchoStamp()), g.getEchoHeldMillis());
+  }
+
+  /** Returns an update without the host, which is the sender. */
+  static UsageUpdate usage(Usage u) {
+    return UsageUpdate.newBuilder()
+        .setLimit(u.limit())
+        .setMilliRate(u.milliRate())
+        .setSequence(u.sequence())
+        .build();
+  }
+}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatRenderer.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatRenderer.java
@@ -8,8 +8,8 @@
 import org.goldcrestfall.daemon.http.Json;
 
 /**
- * Writes answers in the chat-completions form. The constant part of the stream events is built once,
- * because a stream writes it for every token.
+ * Writes answers in the chat-completions form. The constant part of the stream events is built
+ * once, because a stream writes it for every token.
  */
 public final class ChatRenderer {
 
@@ -62,8 +62,7 @@
   }
 
   /** Returns the whole answer as one JSON value. */
-  public ObjectNode whole(
-      String text, String finishReason, long promptTokens, long outputTokens) {
+  public ObjectNode whole(String text, String finishReason, long promptTokens, long outputTokens) {
     ObjectNode n = Json.mapper().createObjectNode();
     n.put("id", requestId);
     n.put("object", "chat.completion");
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
@@ -167,8 +167,7 @@
       check(assembler.onEvent(new StreamEvent.End(attempt, id(e), assembler.passedOn())));
       return;
     }
-    StreamResult r =
-        assembler.onEvent(new StreamEvent.Token(attempt, id(e), e.offset(), e.text()));
+    StreamResult r = assembler.onEvent(new StreamEvent.Token(attempt, id(e), e.offset(), e.text()));
     check(r);
     if (r == StreamResult.PASS) {
       if (assembler.passedOn() == 1) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/SseDecoder.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/SseDecoder.java
@@ -105,8 +105,7 @@
         String name = parser.currentName();
         JsonToken t = parser.nextToken();
         switch (name) {
-          case "request_id" ->
-              requestId = t == JsonToken.VALUE_STRING ? parser.getText() : null;
+          case "request_id" -> requestId = t == JsonToken.VALUE_STRING ? parser.getText() : null;
           case "offset" -> offset = t.isNumeric() ? parser.getLongValue() : -1;
           case "content" -> text = t == JsonToken.VALUE_STRING ? parser.getText() : null;
           case "finish_reason" ->
