--- a/core/src/main/java/org/goldcrestfall/core/control/BookingBook.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/BookingBook.java
@@ -224,8 +224,7 @@
     }
     return dropped.contains(workspace, requestId)
         ? List.of(
-            new Booking(
-                workspace, requestId, null, null, 0, null, 0, UNKNOWN, 0, null, null, 0))
+            new Booking(workspace, requestId, null, null, 0, null, 0, UNKNOWN, 0, null, null, 0))
         : List.of();
   }
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
@@ -14,7 +14,6 @@
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.control.ConfigView;
 import org.goldcrestfall.core.control.ControlQuery;
-import org.goldcrestfall.core.control.Tradeoff;
 import org.goldcrestfall.core.limit.FleetLimiter;
 import org.goldcrestfall.core.limit.LimitSettings;
 import org.goldcrestfall.core.membership.Member;
@@ -111,8 +110,7 @@
     RetryGate retries =
         new RetryGate(new RetryPolicy(RetrySettings.DEFAULTS, seed), clock, p.metrics());
     bookings = new BookingService(budgets, control, p.utc());
-    transfers =
-        new TransferService(budgets, p.transport(), control, this::otherRouters, clock);
+    transfers = new TransferService(budgets, p.transport(), control, this::otherRouters, clock);
     limits = new LimitFilter(new FleetLimiter(settings.host(), LimitSettings.DEFAULTS), clock);
     admission =
         new AdmissionFilter(
@@ -263,8 +261,7 @@
       for (UpstreamAnnouncement.CacheEvent e : a.cacheEvents()) {
         try {
           pool.onCacheEvent(
-              a.name(),
-              new CacheEvent(e.sequence(), PrefixHasher.parse(e.prefix()), e.stored()));
+              a.name(), new CacheEvent(e.sequence(), PrefixHasher.parse(e.prefix()), e.stored()));
         } catch (IllegalArgumentException f) {
           logger.atFine().log("upstream: cache event of %s has no valid prefix", a.name());
         }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BookingService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BookingService.java
@@ -15,8 +15,8 @@
 
 /**
  * The booking attempts of this router against the control group. Starts and outcomes are submitted
- * until they are answered. An attempt whose start was not answered in time is abandoned: it is never
- * sent, and closed as not run once its start is answered. Thread-safe.
+ * until they are answered. An attempt whose start was not answered in time is abandoned: it is
+ * never sent, and closed as not run once its start is answered. Thread-safe.
  */
 public final class BookingService {
 
@@ -47,8 +47,7 @@
       ReservedTokens reservation, String requestId, String bodyHash, String service) {}
 
   /** The outcome of an attempt; {@code bodyBase64} is null where the answer is not kept. */
-  public record Outcome(
-      BookingOutcome outcome, int status, String contentType, String bodyBase64) {
+  public record Outcome(BookingOutcome outcome, int status, String contentType, String bodyBase64) {
 
     /** The outcome of a call that was not sent, or whose result is not known. */
     public static Outcome without(BookingOutcome outcome) {
@@ -77,8 +76,7 @@
               }
               if (bookings.unanswered().size() >= MAX_UNANSWERED) {
                 l.release(workspace, r.reservation().tokens());
-                throw new RequestFailure(
-                    ErrorKind.NO_QUORUM, "The control group does not answer.");
+                throw new RequestFailure(ErrorKind.NO_QUORUM, "The control group does not answer.");
               }
               return bookings.start(
                   workspace,
@@ -125,8 +123,7 @@
                 later(() -> submitStart(c, answered));
                 return;
               }
-              BookingLedger.Decision d =
-                  budgets.withLedger(l -> bookings.started(c.attempt(), r));
+              BookingLedger.Decision d = budgets.withLedger(l -> bookings.started(c.attempt(), r));
               if (!answered.complete(new Started(c.attempt(), d, r))) {
                 abandon(c, d);
               }
@@ -134,8 +131,7 @@
   }
 
   private void abandon(ControlCommand.StartBooking c, BookingLedger.Decision d) {
-    logger.atInfo().log(
-        "booking: start of request %s was answered too late: %s", c.requestId(), d);
+    logger.atInfo().log("booking: start of request %s was answered too late: %s", c.requestId(), d);
     if (d == BookingLedger.Decision.SEND) {
       finish(c.attempt(), Outcome.without(BookingOutcome.NOT_RUN));
     }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/TransferService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/TransferService.java
@@ -95,9 +95,7 @@
     for (ControlCommand.TransferAllotment t : undelivered) {
       String address = live.get(t.to());
       if (address != null) {
-        transport
-            .call(address, offer(t), CALL_MILLIS)
-            .thenAccept(b -> onAck(b.getTransferAck()));
+        transport.call(address, offer(t), CALL_MILLIS).thenAccept(b -> onAck(b.getTransferAck()));
       }
     }
     report();
@@ -136,8 +134,7 @@
               transfers.close(closed, index);
               return transfers.closedThrough();
             });
-    stated.ifPresent(
-        i -> control.submit(new ControlCommand.ReportTransfers(budgets.self(), i)));
+    stated.ifPresent(i -> control.submit(new ControlCommand.ReportTransfers(budgets.self(), i)));
   }
 
   private void ask(String workspace, long tokens) {
@@ -176,8 +173,7 @@
             .orElseGet(
                 () ->
                     Body.newBuilder()
-                        .setTransferOffer(
-                            TransferOffer.newBuilder().setWorkspace(r.getWorkspace()))
+                        .setTransferOffer(TransferOffer.newBuilder().setWorkspace(r.getWorkspace()))
                         .build()));
   }
 
@@ -263,9 +259,6 @@
   }
 
   private static TransferAck ack(TransferOffer o) {
-    return TransferAck.newBuilder()
-        .setWorkspace(o.getWorkspace())
-        .setNumber(o.getNumber())
-        .build();
+    return TransferAck.newBuilder().setWorkspace(o.getWorkspace()).setNumber(o.getNumber()).build();
   }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/BookingFilter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/BookingFilter.java
@@ -44,8 +44,7 @@
   private final BookingService bookings;
 
   /** Creates the filter. */
-  public BookingFilter(
-      UpstreamPool pool, ServiceClient client, BookingService bookings) {
+  public BookingFilter(UpstreamPool pool, ServiceClient client, BookingService bookings) {
     this.pool = pool;
     this.client = client;
     this.bookings = bookings;
@@ -58,8 +57,7 @@
         new BookingService.Request(c.reservation(), c.requestId(), c.bodyHash(), service);
     return bookings
         .start(r)
-        .handle(
-            (s, e) -> e == null ? started(c, s) : this.<HttpResponse>fail(notStarted(c, e)))
+        .handle((s, e) -> e == null ? started(c, s) : this.<HttpResponse>fail(notStarted(c, e)))
         .thenCompose(f -> f)
         .whenComplete((a, e) -> c.end());
   }
@@ -82,8 +80,7 @@
     return switch (s.decision()) {
       case SEND -> send(c, s.attempt(), new HashSet<>());
       case ANSWER ->
-          CompletableFuture.completedFuture(
-              replay(c, ((ControlReply.Booked) s.reply()).booking()));
+          CompletableFuture.completedFuture(replay(c, ((ControlReply.Booked) s.reply()).booking()));
       case REFUSE -> {
         ControlReply.Refused f = (ControlReply.Refused) s.reply();
         throw new RequestFailure(f.kind(), f.message());
