--- a/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
@@ -107,8 +107,6 @@
             router,
             new OutlierDetector(OutlierSettings.DEFAULTS),
             clock);
-    RetryGate retries =
-        new RetryGate(new RetryPolicy(RetrySettings.DEFAULTS, seed), clock, p.metrics());
     bookings = new BookingService(budgets, control, p.utc());
     transfers = new TransferService(budgets, p.transport(), control, this::otherRouters, clock);
     limits = new LimitFilter(new FleetLimiter(settings.host(), LimitSettings.DEFAULTS), clock);
@@ -132,6 +130,8 @@
             this::liveRouters,
             settings.host(),
             settings.peer().endpoint());
+    RetryGate retries =
+        new RetryGate(new RetryPolicy(RetrySettings.DEFAULTS, seed), clock, p.metrics());
     ServiceClient services = new ServiceClient(p.system());
     ChatStream.Parts streams =
         new ChatStream.Parts(pool, new EngineClient(p.system()), retries, clock);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/ChatFilter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/ChatFilter.java
@@ -99,14 +99,14 @@
     Source<ByteString, NotUsed> events =
         tokens
             .map(renderer::tokens)
-            .concat(Source.lazySource(() -> Source.single(end(stream, renderer))));
+            .concatLazy(Source.lazySource(() -> Source.single(end(stream, renderer))));
     return first(c, events)
         .thenApply(
             p -> {
               PFBuilder<Throwable, ByteString> failures = new PFBuilder<>();
               Source<ByteString, NotUsed> body =
                   Source.from(p.first())
-                      .concat(p.second())
+                      .concatLazy(p.second())
                       .recover(failures.matchAny(e -> failureEvent(c, e)).build())
                       .backpressureTimeout(SLOW_CALLER_TIMEOUT);
               return answer(c)
@@ -125,7 +125,7 @@
         .thenCompose(
             p ->
                 Source.from(p.first())
-                    .concat(p.second())
+                    .concatLazy(p.second())
                     .runFold(new StringBuilder(), ChatFilter::append, system))
         .thenApply(
             text ->
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/ReplayFilter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/ReplayFilter.java
@@ -110,7 +110,7 @@
     return parts
         .prefixAndTail(1)
         .runWith(Sink.head(), system)
-        .thenCompose(p -> answer(c, Source.from(p.first()).concat(p.second())));
+        .thenCompose(p -> answer(c, Source.from(p.first()).concatLazy(p.second())));
   }
 
   private static long after(AnswerPart p) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/http/Json.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/http/Json.java
@@ -24,7 +24,6 @@
                   .build())
           .propertyNamingStrategy(PropertyNamingStrategies.SNAKE_CASE)
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
           .build();
 
   private Json() {}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
@@ -130,7 +130,7 @@
         .map(events -> accept(start.attempt(), events))
         .takeWhile(tokens -> !cut, true)
         .filter(tokens -> !tokens.isEmpty())
-        .concat(Source.lazySource(() -> checkWhole(start.attempt())));
+        .concatLazy(Source.lazySource(() -> checkWhole(start.attempt())));
   }
 
   private Source<List<String>, NotUsed> checkWhole(int attempt) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/EngineClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/EngineClient.java
@@ -101,7 +101,7 @@
                 return events.isEmpty() ? List.of() : List.of(events);
               };
             })
-        .concat(Source.lazySource(() -> end(address, done.get())));
+        .concatLazy(Source.lazySource(() -> end(address, done.get())));
   }
 
   /** A stream that ends without its end mark was cut off by the engine's death. */
