Add the decision when the leader sends which order to an engine

Orders to engines must not arrive out of fencing order even at engines that do not check the number, and loads must keep to the rate of the weight store. OrderController sends one order at a time to an engine, only within the lease; engines that do not check wait for the old lease plus the order timeout after a change of leader, and for the order timeout after an attempt without an answer.

--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/order/package-info.java
@@ -0,0 +1,2 @@
+/** The leader's decision when to send which order to an engine. */
+package org.goldcrestfall.core.order;
--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/order/OrderPropertyTest.java
@@ -0,0 +1,130 @@
+package org.goldcrestfall.core.order;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.TreeMap;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.goldcrestfall.core.control.ControlCommand.FinishOrder;
+import org.goldcrestfall.core.control.EngineOrder;
+import org.goldcrestfall.core.control.Group;
+import org.goldcrestfall.core.control.Intent;
+
+/** Guards engines that do not check fencing numbers against orders of a replaced leader. */
+final class OrderPropertyTest {
+
+  private static final OrderSettings SETTINGS = new OrderSettings(1_000, 3_000, 600, 2, 2);
+
+  /** A member with its controller; its lease outlives the election of the next leader. */
+  private static final class Member {
+    final OrderController controller = new OrderController(SETTINGS);
+    long leaseUntil;
+  }
+
+  @Property(tries = 300, seed = "20261205")
+  void engineThatDoesNotCheckExecutesOrdersInFencingOrder(
+      @ForAll @Size(min = 60, max = 250) List<Integer> steps) {
+    Group group = new Group();
+    List<Member> members = List.of(new Member(), new Member(), new Member());
+    TreeMap<Long, List<Runnable>> events = new TreeMap<>();
+    List<Long> executed = new ArrayList<>();
+    Member leader = members.get(0);
+    leader.controller.lead(0);
+    long now = 0;
+    for (int step : steps) {
+      final int a = Math.floorMod(step, 1 << 20);
+      now += a % 211;
+      if (a % 13 == 0) {
+        group.confirm(new Intent.OrderEngine("e1", "change_role", "m" + a));
+      } else if (a % 29 == 0) {
+        leader = members.get(a / 29 % 3);
+        leader.controller.lead(now);
+      }
+      leader.leaseUntil = now + SETTINGS.leaseMillis();
+      while (!events.isEmpty() && events.firstKey() <= now) {
+        events.pollFirstEntry().getValue().forEach(Runnable::run);
+      }
+      for (Member m : members) {
+        List<EngineOrder> queued = group.state().queuedOrders();
+        List<OrderEffect> effects =
+            m.controller.tick(now, m.leaseUntil, queued, e -> Optional.of(false));
+        effects.addAll(send(m, effects, now, a, events, executed));
+        for (OrderEffect e : effects) {
+          if (e instanceof OrderEffect.Finish f && m == leader) {
+            group.apply(f.command());
+          }
+        }
+      }
+    }
+    assertThat(executed).isSorted();
+  }
+
+  private static List<OrderEffect> send(
+      Member m,
+      List<OrderEffect> effects,
+      long now,
+      int a,
+      TreeMap<Long, List<Runnable>> events,
+      List<Long> executed) {
+    List<OrderEffect> more = new ArrayList<>();
+    for (OrderEffect e : effects) {
+      if (e instanceof OrderEffect.Send s) {
+        long at = now + a % SETTINGS.orderTimeoutMillis();
+        boolean answers = a % 3 > 0;
+        Runnable execute =
+            () -> {
+              executed.add(s.order().fencing());
+              if (answers) {
+                m.controller.answered(s.order(), OrderResult.DONE, "", at, 0);
+              }
+            };
+        events.computeIfAbsent(at, k -> new ArrayList<>()).add(execute);
+        if (!answers) {
+          more.addAll(m.controller.answered(s.order(), OrderResult.UNKNOWN, "", now, 0));
+        }
+      }
+    }
+    return more;
+  }
+
+  @Example
+  void checkingEngineIsNotDelayedAndLoadsKeepToTheRateOfTheWeightStore() {
+    OrderController c = new OrderController(new OrderSettings(1_000, 3_000, 6, 1, 1));
+    c.lead(0);
+    List<EngineOrder> queued =
+        List.of(order(5, "e1", "load_model"), order(6, "e2", "load_model"), order(7, "e3", "role"));
+    List<Long> sent = new ArrayList<>();
+    for (long now = 0; now <= 20_000; now += 500) {
+      for (OrderEffect e : c.tick(now, now + 1, queued, n -> Optional.of(true))) {
+        sent.add(((OrderEffect.Send) e).order().fencing() * 100_000 + now);
+      }
+    }
+    assertThat(sent).containsExactly(700_000L, 510_000L, 620_000L);
+  }
+
+  @Example
+  void nothingIsSentOutsideTheLeaseAndFinishIsProposedUntilTheOrderHasLeftTheQueue() {
+    OrderController c = new OrderController(SETTINGS);
+    EngineOrder o = order(5, "e1", "role");
+    assertThat(c.tick(0, 1_000, List.of(o), n -> Optional.of(true))).isEmpty();
+    c.lead(0);
+    assertThat(c.tick(1_000, 1_000, List.of(o), n -> Optional.of(true))).isEmpty();
+    assertThat(c.tick(999, 1_000, List.of(o), n -> Optional.empty())).isEmpty();
+    assertThat(c.tick(999, 1_000, List.of(o), n -> Optional.of(true)))
+        .containsExactly(new OrderEffect.Send(o, 1_000));
+    OrderEffect finish = new OrderEffect.Finish(new FinishOrder(5, true, "ok", 9));
+    assertThat(c.answered(o, OrderResult.DONE, "ok", 1_500, 9)).containsExactly(finish);
+    assertThat(c.tick(2_000, 9_000, List.of(o), n -> Optional.of(true))).isEmpty();
+    assertThat(c.tick(2_500, 9_000, List.of(o), n -> Optional.of(true))).containsExactly(finish);
+    assertThat(c.tick(3_500, 9_000, List.of(), n -> Optional.of(true))).isEmpty();
+  }
+
+  private static EngineOrder order(long fencing, String engine, String action) {
+    return new EngineOrder(fencing, engine, action, "m", EngineOrder.State.QUEUED, "", 0, 0);
+  }
+}
