Count the router's own pending prefill in the estimated wait

Load reports carry running and waiting requests, but the tail of the time to first token at 0.9 of capacity comes from long prompts that are being prefilled in front of a quick question. The router knows these for its own sends: Send tracks a request from the send to its first token and end, and the estimated wait adds the uncached prefill that is still pending.

--- a/core/src/main/java/org/goldcrestfall/core/routing/EstimatedWaitFactor.java
+++ b/core/src/main/java/org/goldcrestfall/core/routing/EstimatedWaitFactor.java
@@ -2,7 +2,7 @@
 
 /**
  * Expected time until a slot is free, plus the slowdown by the requests that share the batch, from
- * the corrected load.
+ * the corrected load, plus the prefill of this router's own requests that await their first token.
  *
  * @param defaultHoldMillis slot time that is assumed before the first completion
  * @param contentionMillis delay of the first token by a full batch
@@ -15,6 +15,7 @@
     double outstanding = context.load().outstanding(candidate, context.nowMillis());
     double hold = context.load().holdMillis(candidate.name(), defaultHoldMillis);
     double ahead = Math.max(0, outstanding + 1 - candidate.slots());
-    return (ahead * hold + outstanding * contentionMillis) / candidate.slots();
+    double pending = context.load().pendingPrefillMillis(candidate.name());
+    return (ahead * hold + outstanding * contentionMillis) / candidate.slots() + pending;
   }
 }
--- a/core/src/main/java/org/goldcrestfall/core/routing/LoadTracker.java
+++ b/core/src/main/java/org/goldcrestfall/core/routing/LoadTracker.java
@@ -22,35 +22,48 @@
     final ArrayDeque<Event> events = new ArrayDeque<>();
     int own;
     double holdMillis = -1;
+    double prefillMillis;
   }
 
   private final Map<String, Upstream> upstreams = new HashMap<>();
 
-  /** Records that this router sent a request. */
-  public void onSend(String upstream, long nowMillis) {
+  /**
+   * Records that this router sent a request.
+   *
+   * @param prefillMillis expected prefill time, without the cached part of the prompt
+   */
+  public Send onSend(String upstream, double prefillMillis, long nowMillis) {
     Upstream u = upstreams.computeIfAbsent(upstream, n -> new Upstream());
     u.own++;
+    u.prefillMillis += prefillMillis;
     add(u, new Event(nowMillis, 1));
+    return new Send(upstream, prefillMillis, nowMillis);
   }
 
-  /**
-   * Records that a request of this router ended, for any reason.
-   *
-   * @param holdMillis time from the first token to the end; negative if there was no first token
-   */
-  public void onCompletion(String upstream, long holdMillis, long nowMillis) {
-    Upstream u = upstreams.get(upstream);
-    if (u == null || u.own == 0) {
+  /** Records the first token, or for a plain service the first byte, of the answer. */
+  public void onFirstToken(Send send, long nowMillis) {
+    if (send.awaitsFirstToken()) {
+      send.firstTokenMillis = nowMillis;
+      upstreams.get(send.upstream).prefillMillis -= send.prefillMillis;
+    }
+  }
+
+  /** Records that a request ended, for any reason; a second call has no effect. */
+  public void onCompletion(Send send, long nowMillis) {
+    if (send.ended) {
       return;
     }
+    Upstream u = upstreams.get(send.upstream);
     u.own--;
     add(u, new Event(nowMillis, -1));
-    if (holdMillis >= 0) {
+    if (send.awaitsFirstToken()) {
+      u.prefillMillis -= send.prefillMillis;
+    } else {
+      double hold = nowMillis - send.firstTokenMillis;
       u.holdMillis =
-          u.holdMillis < 0
-              ? holdMillis
-              : u.holdMillis + AVERAGE_WEIGHT * (holdMillis - u.holdMillis);
+          u.holdMillis < 0 ? hold : u.holdMillis + AVERAGE_WEIGHT * (hold - u.holdMillis);
     }
+    send.ended = true;
   }
 
   /** Returns the estimated number of requests at the upstream, running and waiting. */
@@ -77,6 +90,12 @@
     return u == null ? 0 : u.own;
   }
 
+  /** Returns the prefill time of this router's requests that await their first token. */
+  public double pendingPrefillMillis(String upstream) {
+    Upstream u = upstreams.get(upstream);
+    return u == null ? 0 : u.prefillMillis;
+  }
+
   /** Returns the average slot time at the upstream, or {@code unknown} before the first one. */
   public double holdMillis(String upstream, double unknown) {
     Upstream u = upstreams.get(upstream);
--- a/core/src/main/java/org/goldcrestfall/core/routing/Router.java
+++ b/core/src/main/java/org/goldcrestfall/core/routing/Router.java
@@ -67,18 +67,22 @@
   }
 
   /** Records that the request was sent to {@code upstream}. */
-  public void onSend(String upstream, RoutingRequest request, long nowMillis) {
-    load.onSend(upstream, nowMillis);
+  public Send onSend(String upstream, RoutingRequest request, long nowMillis) {
+    double cached =
+        prefixes.cachedBlocks(upstream, request.prefix(), nowMillis) * PrefixHasher.BLOCK_TOKENS;
+    double tokens = Math.max(0, request.promptTokens() - cached);
     prefixes.onSend(upstream, request.prefix(), nowMillis);
+    return load.onSend(upstream, tokens * settings.prefillMillisPerToken(), nowMillis);
   }
 
-  /**
-   * Records the end of a request that was passed to {@link #onSend}, for any reason.
-   *
-   * @param holdMillis time from the first token to the end; negative if there was no first token
-   */
-  public void onCompletion(String upstream, long holdMillis, long nowMillis) {
-    load.onCompletion(upstream, holdMillis, nowMillis);
+  /** Records the first token, or for a plain service the first byte, of the answer. */
+  public void onFirstToken(Send send, long nowMillis) {
+    load.onFirstToken(send, nowMillis);
+  }
+
+  /** Records the end of a request, for any reason. */
+  public void onCompletion(Send send, long nowMillis) {
+    load.onCompletion(send, nowMillis);
   }
 
   /** Applies a cache event of an engine. */
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/routing/Send.java
@@ -0,0 +1,26 @@
+package org.goldcrestfall.core.routing;
+
+/** A request that this router sent, from {@link Router#onSend} until it ends. */
+public final class Send {
+
+  final String upstream;
+  final long sentMillis;
+  final double prefillMillis;
+  long firstTokenMillis = -1;
+  boolean ended;
+
+  Send(String upstream, double prefillMillis, long sentMillis) {
+    this.upstream = upstream;
+    this.prefillMillis = prefillMillis;
+    this.sentMillis = sentMillis;
+  }
+
+  /** Returns the upstream that the request was sent to. */
+  public String upstream() {
+    return upstream;
+  }
+
+  boolean awaitsFirstToken() {
+    return firstTokenMillis < 0 && !ended;
+  }
+}
--- a/core/src/test/java/org/goldcrestfall/core/routing/RouterTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/routing/RouterTest.java
@@ -69,14 +69,18 @@
   @Example
   void ownSendsCorrectLateReport() {
     LoadTracker load = new LoadTracker();
-    load.onSend("e", 100);
-    load.onSend("e", 200);
-    load.onSend("e", 300);
-    load.onSend("e", 310);
-    load.onCompletion("e", 50, 320);
+    load.onSend("e", 10, 100);
+    load.onSend("e", 10, 200);
+    load.onSend("e", 10, 300);
+    Send last = load.onSend("e", 10, 310);
+    assertThat(load.pendingPrefillMillis("e")).isEqualTo(40);
+    load.onFirstToken(last, 311);
+    load.onCompletion(last, 320);
+    load.onCompletion(last, 330);
     assertThat(load.outstanding(engine("e", 5, 160, false), 350)).isEqualTo(7);
     assertThat(load.outstanding(engine("e", 0, 10, false), 400)).isEqualTo(3);
-    assertThat(load.holdMillis("e", 9)).isEqualTo(50);
+    assertThat(load.holdMillis("e", 0)).isEqualTo(9);
+    assertThat(load.pendingPrefillMillis("e")).isEqualTo(30);
   }
 
   /** Guards against trust in cache knowledge after lost events, and against unbounded memory. */
--- a/standin/src/main/java/org/goldcrestfall/standin/bench/RouterModel.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/bench/RouterModel.java
@@ -11,6 +11,7 @@
 import org.goldcrestfall.core.routing.Candidate;
 import org.goldcrestfall.core.routing.Router;
 import org.goldcrestfall.core.routing.RoutingRequest;
+import org.goldcrestfall.core.routing.Send;
 
 /** A router of the benchmark: the decision code, fed with late reports of all engines. */
 final class RouterModel {
@@ -102,7 +103,7 @@
     RoutingRequest routing =
         new RoutingRequest("m", request.prefix(), request.promptTokens(), Set.of());
     Candidate chosen = router.choose(routing, candidates(), now).orElseThrow();
-    router.onSend(chosen.name(), routing, now);
+    Send send = router.onSend(chosen.name(), routing, now);
     measurements.onDispatch(request, now);
     int index = Integer.parseInt(chosen.name().substring(1));
     engines
@@ -115,13 +116,14 @@
               @Override
               public void onFirstToken() {
                 firstMillis = simulation.now();
+                router.onFirstToken(send, firstMillis);
                 measurements.onFirstToken(request, firstMillis);
               }
 
               @Override
               public void onEnd() {
                 long end = simulation.now();
-                router.onCompletion(chosen.name(), end - firstMillis, end);
+                router.onCompletion(send, end);
                 times.onCompletion(request.patience().name(), firstMillis - now, end - now);
                 if (queue != null) {
                   queue.complete(request.id());
