--- a/core/src/main/java/org/goldcrestfall/core/routing/RouterSettings.java
+++ b/core/src/main/java/org/goldcrestfall/core/routing/RouterSettings.java
@@ -12,7 +12,6 @@
  * @param subsetSize upstreams that one router uses
  * @param choices random candidates that are compared
  * @param defaultHoldMillis slot time that is assumed before the first completion
- * @param contentionMillis delay of the first token by a full batch
  * @param prefillMillisPerToken prefill time of one prompt token
  * @param maxLoadRatio bound on the utilization, as a multiple of the mean, up to which cached
  *     blocks attract
@@ -25,7 +24,6 @@
     int subsetSize,
     int choices,
     double defaultHoldMillis,
-    double contentionMillis,
     double prefillMillisPerToken,
     double maxLoadRatio,
     double otherZoneMillis,
@@ -43,7 +41,7 @@
 
   /** Settings for engines of about 5,000 prompt tokens a second. */
   public static final RouterSettings DEFAULTS =
-      new RouterSettings(20, 2, 2_000, 100, 0.2, 1.25, 1, 20_000, 8_192, 60_000);
+      new RouterSettings(20, 2, 2_000, 0.2, 1.25, 1, 20_000, 8_192, 60_000);
 
   /** Checks the arguments. */
   public RouterSettings {
@@ -58,7 +56,7 @@
       if (factors.contains(f)) {
         list.add(
             switch (f) {
-              case ESTIMATED_WAIT -> new EstimatedWaitFactor(defaultHoldMillis, contentionMillis);
+              case ESTIMATED_WAIT -> new EstimatedWaitFactor(defaultHoldMillis);
               case SAVED_PREFILL -> new SavedPrefillFactor(prefillMillisPerToken, maxLoadRatio);
               case ZONE_DISTANCE -> new ZoneDistanceFactor(otherZoneMillis);
               case MODEL_LOAD -> new ModelLoadFactor(modelLoadMillis);
