Let cached prefixes attract longer and up to 1.5 of the mean load

A half-life of 1 minute lost confidence in blocks that engines still held, and the bound of 1.25 turned requests away from warm engines on differences that late reports cannot resolve.

--- a/core/src/main/java/org/goldcrestfall/core/routing/RouterSettings.java
+++ b/core/src/main/java/org/goldcrestfall/core/routing/RouterSettings.java
@@ -41,7 +41,7 @@
 
   /** Settings for engines of about 5,000 prompt tokens a second. */
   public static final RouterSettings DEFAULTS =
-      new RouterSettings(20, 2, 2_000, 0.2, 1.25, 1, 20_000, 8_192, 60_000);
+      new RouterSettings(20, 2, 2_000, 0.2, 1.5, 1, 20_000, 8_192, 300_000);
 
   /** Checks the arguments. */
   public RouterSettings {
