Add the load generator

load sends a seeded trace in open loop, retries under the same Idempotency-Key through the next router, and counts lost, doubled, wrong and refused by kind. It exits with 1 if anything is not 0.

--- a/standin/src/main/java/org/goldcrestfall/standin/StandinMain.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/StandinMain.java
@@ -12,6 +12,8 @@
 import org.goldcrestfall.standin.call.PortsOptions;
 import org.goldcrestfall.standin.engine.EngineOptions;
 import org.goldcrestfall.standin.engine.EngineServer;
+import org.goldcrestfall.standin.load.LoadOptions;
+import org.goldcrestfall.standin.load.LoadRun;
 import org.goldcrestfall.standin.service.ServiceOptions;
 import org.goldcrestfall.standin.service.ServiceServer;
 import org.goldcrestfall.standin.upstream.UpstreamProcess;
@@ -26,13 +28,20 @@
   private final ServiceOptions service = new ServiceOptions();
   private final CallOptions call = new CallOptions();
   private final ChatOptions chat = new ChatOptions();
+  private final LoadOptions load = new LoadOptions();
   private final PortsOptions ports = new PortsOptions();
 
   private StandinMain() {}
 
   /** Runs a subcommand. Engine and service keep running until SIGTERM. */
   public static void main(String[] args) throws Exception {
-    int code = new StandinMain().run(args);
+    int code;
+    try {
+      code = new StandinMain().run(args);
+    } catch (IllegalArgumentException e) {
+      System.err.println("goldcrestfall-standin: " + e.getMessage());
+      code = USAGE_ERROR;
+    }
     if (code >= 0) {
       System.exit(code);
     }
@@ -46,6 +55,7 @@
             .addCommand("service", service)
             .addCommand("call", call)
             .addCommand("chat", chat)
+            .addCommand("load", load)
             .addCommand("ports", ports)
             .build();
     try {
@@ -59,7 +69,7 @@
       commander.usage();
       return USAGE_ERROR;
     }
-    if (engine.help || service.help || call.help || chat.help || ports.help) {
+    if (engine.help || service.help || call.help || chat.help || load.help || ports.help) {
       commander.getCommands().get(command).usage();
       return 0;
     }
@@ -69,6 +79,7 @@
       case "service" -> runService();
       case "call" -> calls.call(call);
       case "chat" -> calls.chat(chat);
+      case "load" -> new LoadRun(load).run(System.out);
       default -> ports.print(System.out);
     };
   }
--- a/standin/src/main/java/org/goldcrestfall/standin/client/ChatClient.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/client/ChatClient.java
@@ -42,10 +42,9 @@
   /** The state of one call; the body subscriber is the only writer until the call ends. */
   private static final class Exchange {
     private final AnswerCheck check;
-    private final long start = System.nanoTime();
     private volatile int status;
     private volatile String requestId = "";
-    private volatile long firstTokenNanos = -1;
+    private volatile long firstTokenAtNanos;
     private volatile JsonNode error;
 
     Exchange(ChatCall call) {
@@ -66,15 +65,15 @@
 
     private void event(String data) {
       check.event(data);
-      if (firstTokenNanos < 0 && check.tokens() > 0) {
-        firstTokenNanos = System.nanoTime() - start;
+      if (firstTokenAtNanos == 0 && check.tokens() > 0) {
+        firstTokenAtNanos = System.nanoTime();
       }
     }
 
     private Void plain(String body) {
       if (status == 200) {
         check.plain(body);
-        firstTokenNanos = System.nanoTime() - start;
+        firstTokenAtNanos = System.nanoTime();
         return null;
       }
       try {
@@ -87,7 +86,7 @@
 
     ChatReply reply() {
       JsonNode cause = error == null ? check.error() : error;
-      return new ChatReply(status, check, cause, requestId, firstTokenNanos);
+      return new ChatReply(status, check, cause, requestId, firstTokenAtNanos);
     }
   }
 }
--- a/standin/src/main/java/org/goldcrestfall/standin/client/ChatReply.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/client/ChatReply.java
@@ -4,11 +4,11 @@
 
 /**
  * What came back for a chat completion: status 0 where the connection failed, the check of the
- * answer, the error object of a refusal (or null), and the time to the first token in nanoseconds
- * (or -1).
+ * answer, the error object of a refusal (or null), and the {@code System.nanoTime()} of the first
+ * token (or 0).
  */
 public record ChatReply(
-    int status, AnswerCheck check, JsonNode error, String requestId, long firstTokenNanos) {
+    int status, AnswerCheck check, JsonNode error, String requestId, long firstTokenAtNanos) {
 
   /** Returns the error kind, {@code connection_lost}, or an empty text for a whole answer. */
   public String kind() {
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/load/BillingAudit.java
@@ -0,0 +1,165 @@
+package org.goldcrestfall.standin.load;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import org.goldcrestfall.standin.answer.Answer;
+import org.goldcrestfall.standin.client.ChatClient;
+import org.goldcrestfall.standin.upstream.Json;
+
+/**
+ * Collects the billing records of a workspace while the load runs, because the operator interface
+ * lists only the newest, and compares them with the answers and with the settled sum.
+ */
+final class BillingAudit {
+
+  /**
+   * Requests billed twice, billed for other token counts than the answer had, and answered without
+   * a record.
+   */
+  record Result(long billedTwice, long billedWrong, long unbilled) {}
+
+  private static final int LIST_LIMIT = 1000;
+  private static final int SETTLE_POLLS = 50;
+  private static final long SETTLE_POLL_MILLIS = 200;
+  private static final Duration TIMEOUT = Duration.ofSeconds(5);
+
+  private final LoadOptions options;
+  private final Tally tally;
+  private final HttpClient http = ChatClient.newHttpClient(Runnable::run);
+  private final Map<String, TraceEntry> answered = new ConcurrentHashMap<>();
+  private final Map<String, JsonNode> records = new HashMap<>();
+  private final Map<String, JsonNode> bookings = new HashMap<>();
+  private final Set<String> twice = new HashSet<>();
+  private long settledBefore;
+
+  BillingAudit(LoadOptions options, Tally tally) {
+    this.options = options;
+    this.tally = tally;
+  }
+
+  boolean isEnabled() {
+    return !options.admin.isEmpty() && !options.workspace.isEmpty();
+  }
+
+  /** Notes what was settled before the run. */
+  void start() throws InterruptedException {
+    settledBefore = get("/admin/v1/budgets/" + options.workspace).path("settled").asLong();
+  }
+
+  void finished(TraceEntry entry, Attempt last) {
+    if (isEnabled() && last.isWhole()) {
+      answered.put(entry.id(), entry);
+    }
+  }
+
+  /** Reads the newest records; called often enough that none is missed. */
+  void poll() throws InterruptedException {
+    String query = "?limit=" + LIST_LIMIT + "&workspace=" + options.workspace;
+    Set<String> seen = new HashSet<>();
+    for (JsonNode record : get("/admin/v1/billing" + query).path("records")) {
+      note(record, records, seen);
+    }
+    seen.clear();
+    for (JsonNode booking : get("/admin/v1/bookings" + query).path("bookings")) {
+      bookings.put(booking.path("request_id").asText(), booking);
+    }
+  }
+
+  /** Waits until every answered request is billed, then compares. */
+  Result check() throws InterruptedException {
+    if (!isEnabled()) {
+      return new Result(0, 0, 0);
+    }
+    long unbilled = Long.MAX_VALUE;
+    for (int i = 0; i < SETTLE_POLLS && unbilled > 0; i++) {
+      poll();
+      unbilled = answered.keySet().stream().filter(id -> !isBilled(id)).count();
+      Thread.sleep(SETTLE_POLL_MILLIS);
+    }
+    poll();
+    long settled =
+        get("/admin/v1/budgets/" + options.workspace).path("settled").asLong() - settledBefore;
+    long sum = sum();
+    if (settled != sum) {
+      tally.problem("settled " + settled + " tokens, but the records sum up to " + sum);
+    }
+    answered.keySet().stream()
+        .filter(id -> !isBilled(id))
+        .limit(5)
+        .forEach(id -> tally.problem(id + ": answered, but not billed"));
+    long wrong = answered.values().stream().filter(this::isBilledWrong).count();
+    return new Result(twice.size() + (settled > sum ? 1 : 0), wrong, unbilled);
+  }
+
+  private void note(JsonNode record, Map<String, JsonNode> known, Set<String> seen) {
+    String id = record.path("request_id").asText();
+    if (!id.startsWith(options.run + "-" + options.seed + "-")) {
+      return;
+    }
+    JsonNode before = known.put(id, record);
+    if (!seen.add(id) || before != null && !before.equals(record)) {
+      twice.add(id);
+      tally.problem(id + ": billed twice: " + before + " and " + record);
+    }
+  }
+
+  private boolean isBilled(String id) {
+    return records.containsKey(id) || bookings.containsKey(id);
+  }
+
+  private boolean isBilledWrong(TraceEntry entry) {
+    JsonNode record = records.get(entry.id());
+    if (record == null || !entry.isChat()) {
+      return false;
+    }
+    int output = Answer.to(entry.prompt()).length(entry.maxTokens());
+    boolean wrong =
+        record.path("output_tokens").asInt() != output
+            || record.path("prompt_tokens").asInt() != entry.prompt().tokens();
+    if (wrong) {
+      tally.problem(entry.id() + ": billed as " + record + " for " + output + " output tokens");
+    }
+    return wrong;
+  }
+
+  private long sum() {
+    long sum = records.values().stream().mapToLong(r -> r.path("tokens").asLong()).sum();
+    for (JsonNode booking : bookings.values()) {
+      String id = booking.path("request_id").asText();
+      boolean own = id.startsWith(options.run + "-" + options.seed + "-");
+      boolean refunded = booking.path("outcome").asText().equalsIgnoreCase("not_run");
+      sum += own && !refunded && !records.containsKey(id) ? booking.path("tokens").asLong() : 0;
+    }
+    return sum;
+  }
+
+  private JsonNode get(String path) throws InterruptedException {
+    for (String server : options.admin) {
+      try {
+        HttpRequest request =
+            HttpRequest.newBuilder(URI.create("http://" + server + path))
+                .timeout(TIMEOUT)
+                .header("Authorization", "Bearer " + options.token)
+                .build();
+        HttpResponse<String> response = http.send(request, HttpResponse.BodyHandlers.ofString());
+        if (response.statusCode() == 200) {
+          return Json.parse(response.body());
+        }
+        tally.problem(server + path + " answered " + response.statusCode());
+      } catch (IOException e) {
+        tally.problem(server + path + ": " + e);
+      }
+    }
+    return Json.parse("{}");
+  }
+}
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/load/TraceGenerator.java
@@ -0,0 +1,112 @@
+package org.goldcrestfall.standin.load;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.goldcrestfall.standin.answer.Message;
+import org.goldcrestfall.standin.answer.Prompt;
+
+/**
+ * Generates the requests of a trace with exponentially distributed gaps. The same options and seed
+ * give the same trace.
+ */
+final class TraceGenerator {
+
+  private static final double NANOS_PER_SECOND = 1e9;
+  private static final int ITEMS = 200;
+  private static final String[] WORDS = {
+    "hull", "cedar", "boom", "plan", "bench", "sand", "lash", "float", "paddle", "tide", "lemon",
+    "stand", "kit", "permit", "price", "dealer", "season", "ship", "stock", "photo"
+  };
+
+  private record ClassShare(String name, double upTo) {}
+
+  private final LoadOptions options;
+  private final UniformRandomProvider random;
+  private final List<ClassShare> classes;
+  private final List<Message> prefixes = new ArrayList<>();
+  private double atNanos;
+  private int count;
+
+  TraceGenerator(LoadOptions options) {
+    this.options = options;
+    this.random = RandomSource.XO_RO_SHI_RO_128_PP.create(options.seed);
+    this.classes = classShares(options.classes);
+    for (int i = 0; i < options.prefixes && options.prefixBytes > 0; i++) {
+      prefixes.add(new Message("system", text(options.prefixBytes)));
+    }
+  }
+
+  TraceEntry next() {
+    atNanos += -Math.log1p(-random.nextDouble()) / options.rate * NANOS_PER_SECOND;
+    TraceEntry.Kind kind = kind();
+    boolean chat = kind == TraceEntry.Kind.STREAM || kind == TraceEntry.Kind.PLAIN;
+    int index = count++;
+    return new TraceEntry(
+        (long) atNanos,
+        options.run + "-" + options.seed + "-" + index,
+        kind,
+        patience(),
+        index % options.keys.size(),
+        chat ? prompt(index) : new Prompt(List.of()),
+        chat ? 1 + random.nextInt(options.maxTokens) : 0,
+        chat ? "" : "item-" + random.nextInt(ITEMS));
+  }
+
+  /** Reads shares such as {@code quick=3}; the sums are cumulative and end at 1. */
+  private static List<ClassShare> classShares(List<String> texts) {
+    double total = 0;
+    List<ClassShare> sums = new ArrayList<>();
+    for (String text : texts) {
+      int equals = text.indexOf('=');
+      if (equals < 0) {
+        throw new IllegalArgumentException("--classes: " + text + ", expected NAME=SHARE");
+      }
+      total += Double.parseDouble(text.substring(equals + 1));
+      sums.add(new ClassShare(text.substring(0, equals), total));
+    }
+    double sum = total;
+    return sums.stream().map(c -> new ClassShare(c.name(), c.upTo() / sum)).toList();
+  }
+
+  private TraceEntry.Kind kind() {
+    double draw = random.nextDouble();
+    if (draw < options.lookupShare) {
+      return TraceEntry.Kind.LOOKUP;
+    }
+    if (draw < options.lookupShare + options.bookingShare) {
+      return TraceEntry.Kind.BOOKING;
+    }
+    return random.nextDouble() < options.streamedShare
+        ? TraceEntry.Kind.STREAM
+        : TraceEntry.Kind.PLAIN;
+  }
+
+  private String patience() {
+    double draw = random.nextDouble();
+    for (ClassShare share : classes) {
+      if (draw < share.upTo()) {
+        return share.name();
+      }
+    }
+    return classes.get(classes.size() - 1).name();
+  }
+
+  private Prompt prompt(int index) {
+    // The index makes every prompt, and so every answer, different from all others.
+    String question = index + ": " + text(1 + random.nextInt(2 * options.promptBytes));
+    Message user = new Message("user", question);
+    return prefixes.isEmpty()
+        ? new Prompt(List.of(user))
+        : new Prompt(List.of(prefixes.get(random.nextInt(prefixes.size())), user));
+  }
+
+  private String text(int bytes) {
+    StringBuilder text = new StringBuilder(bytes + 16);
+    while (text.length() < bytes) {
+      text.append(WORDS[random.nextInt(WORDS.length)]).append(' ');
+    }
+    return text.toString().strip();
+  }
+}
