--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -175,3 +175,18 @@
   done
   "$standin" call --until-status 200 --timeout-seconds 20 --key "$1" "${arguments[@]}"
 }
+
+# Creates the workspace "bench" with a large budget, a service and a key; sets key.
+set_up_workspace() {
+  "$cli" patience set quick --price-per-mille 1000 --deadline-millis 30000 --priority 10 \
+    --reserved-share-per-mille 300 --confirm >"$folder/setup.log" || return 1
+  "$cli" patience set patient --price-per-mille 400 --deadline-millis 60000 --priority 1 \
+    --reserved-share-per-mille 200 --confirm >>"$folder/setup.log" || return 1
+  "$cli" workspace create bench --default-class quick --tradeoff available --confirm \
+    >>"$folder/setup.log" || return 1
+  "$cli" service define workshop --price-tokens 7 --idempotent-methods GET --confirm \
+    >>"$folder/setup.log" || return 1
+  "$cli" budget top-up bench --tokens 100000000000 --confirm >>"$folder/setup.log" || return 1
+  key="$(text key "$("$cli" key create bench --key-id bench --confirm --output json)")"
+  [[ -n "$key" ]] && await_key "$key"
+}
--- a/standin/src/main/java/org/goldcrestfall/standin/StandinMain.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/StandinMain.java
@@ -6,6 +6,8 @@
 import org.apache.pekko.actor.ActorSystem;
 import org.apache.pekko.stream.Materializer;
 import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.standin.bench.PathBench;
+import org.goldcrestfall.standin.bench.PathOptions;
 import org.goldcrestfall.standin.call.CallOptions;
 import org.goldcrestfall.standin.call.Calls;
 import org.goldcrestfall.standin.call.ChatOptions;
@@ -29,6 +31,7 @@
   private final CallOptions call = new CallOptions();
   private final ChatOptions chat = new ChatOptions();
   private final LoadOptions load = new LoadOptions();
+  private final PathOptions path = new PathOptions();
   private final PortsOptions ports = new PortsOptions();
 
   private StandinMain() {}
@@ -56,6 +59,7 @@
             .addCommand("call", call)
             .addCommand("chat", chat)
             .addCommand("load", load)
+            .addCommand("path", path)
             .addCommand("ports", ports)
             .build();
     try {
@@ -69,7 +73,13 @@
       commander.usage();
       return USAGE_ERROR;
     }
-    if (engine.help || service.help || call.help || chat.help || load.help || ports.help) {
+    if (engine.help
+        || service.help
+        || call.help
+        || chat.help
+        || load.help
+        || path.help
+        || ports.help) {
       commander.getCommands().get(command).usage();
       return 0;
     }
@@ -80,6 +90,7 @@
       case "call" -> calls.call(call);
       case "chat" -> calls.chat(chat);
       case "load" -> new LoadRun(load).run(System.out);
+      case "path" -> new PathBench(path).run(System.out);
       default -> ports.print(System.out);
     };
   }
--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/bench/ClosedLoop.java
@@ -0,0 +1,92 @@
+package org.goldcrestfall.standin.bench;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.goldcrestfall.standin.client.ChatCall;
+import org.goldcrestfall.standin.client.ChatClient;
+import org.goldcrestfall.standin.client.ChatReply;
+
+/** Keeps a number of streams open at one target: each ended stream is followed by a new one. */
+final class ClosedLoop {
+
+  private static final int SIGNIFICANT_DIGITS = 3;
+  private static final long START_SPREAD_MILLIS = 1_000;
+  private static final long NANOS_PER_MICRO = 1_000;
+
+  private final ChatClient client;
+  private final String server;
+  private final Supplier<ChatCall> calls;
+  private final Histogram firstTokenMicros = new ConcurrentHistogram(SIGNIFICANT_DIGITS);
+  private final AtomicLong tokens = new AtomicLong();
+  private final AtomicLong failures = new AtomicLong();
+  private volatile String firstFailure = "";
+
+  ClosedLoop(ChatClient client, String server, Supplier<ChatCall> calls) {
+    this.client = client;
+    this.server = server;
+    this.calls = calls;
+  }
+
+  /** Runs for a time, then waits for the open streams; returns the seconds it took. */
+  double run(int streams, int seconds) {
+    final long start = System.nanoTime();
+    final long end = start + TimeUnit.SECONDS.toNanos(seconds);
+    CompletableFuture<?>[] loops = new CompletableFuture<?>[streams];
+    for (int i = 0; i < streams; i++) {
+      final CompletableFuture<?> loop = new CompletableFuture<Void>();
+      loops[i] = loop;
+      // A burst of all streams at once would measure the queue at the client, not the path.
+      CompletableFuture.delayedExecutor(START_SPREAD_MILLIS * i / streams, TimeUnit.MILLISECONDS)
+          .execute(() -> next(loop, end));
+    }
+    CompletableFuture.allOf(loops).join();
+    return (System.nanoTime() - start) / 1e9;
+  }
+
+  Histogram firstTokenMicros() {
+    return firstTokenMicros;
+  }
+
+  long tokens() {
+    return tokens.get();
+  }
+
+  long failures() {
+    return failures.get();
+  }
+
+  String firstFailure() {
+    return firstFailure;
+  }
+
+  private void next(CompletableFuture<?> loop, long end) {
+    final long start = System.nanoTime();
+    if (start >= end) {
+      loop.complete(null);
+      return;
+    }
+    client
+        .send(server, calls.get())
+        .thenAccept(
+            reply -> {
+              ended(reply, start);
+              next(loop, end);
+            });
+  }
+
+  private void ended(ChatReply reply, long start) {
+    if (reply.check().isWhole()) {
+      firstTokenMicros.recordValue((reply.firstTokenAtNanos() - start) / NANOS_PER_MICRO);
+      tokens.addAndGet(reply.check().tokens());
+      return;
+    }
+    failures.incrementAndGet();
+    if (firstFailure.isEmpty()) {
+      firstFailure = reply.kind() + " " + reply.check().problem() + " " + reply.error();
+    }
+  }
+}
--- /dev/null
+++ b/standin/src/test/java/org/goldcrestfall/standin/client/AnswerCheckTest.java
@@ -0,0 +1,144 @@
+package org.goldcrestfall.standin.client;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.Flow;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.goldcrestfall.standin.answer.Answer;
+import org.goldcrestfall.standin.answer.CompletionJson;
+import org.goldcrestfall.standin.answer.Prompt;
+
+/** Guards the checks of the load generator: each kind of damage to an answer must be found. */
+class AnswerCheckTest {
+
+  private static final int LENGTH = 12;
+  private static final Prompt PROMPT = Prompt.ofUser("how thick is the hull");
+  private static final CompletionJson JSON = new CompletionJson("id \"1\"", "hull-1");
+
+  /** Ignores the demand of a reader. */
+  private static final class NoSubscription implements Flow.Subscription {
+    @Override
+    public void request(long n) {}
+
+    @Override
+    public void cancel() {}
+  }
+
+  private static List<String> events(Prompt prompt) {
+    StringBuilder out = new StringBuilder();
+    for (int i = 0; i < LENGTH; i++) {
+      JSON.appendToken(out, i, Answer.to(prompt).token(i));
+    }
+    JSON.appendEnd(out, "length", prompt.tokens(), LENGTH);
+    return new ArrayList<>(List.of(out.toString().split("\n\n")));
+  }
+
+  private static AnswerCheck check(List<String> events) {
+    AnswerCheck check = new AnswerCheck(PROMPT, LENGTH);
+    EventReader reader = new EventReader(check::event);
+    reader.onSubscribe(new NoSubscription());
+    reader.onNext(List.of(ByteBuffer.wrap((String.join("\n\n", events) + "\n\n").getBytes(UTF_8))));
+    reader.onComplete();
+    return check;
+  }
+
+  @Example
+  void wholeStreamIsAccepted() {
+    AnswerCheck check = check(events(PROMPT));
+    assertThat(check.problem()).isEmpty();
+    assertThat(check.isWhole()).isTrue();
+    assertThat(check.tokens()).isEqualTo(LENGTH);
+  }
+
+  @Example
+  void streamWithoutItsEndIsNotWholeButNotWrong() {
+    List<String> events = events(PROMPT);
+    AnswerCheck check = check(events.subList(0, 7));
+    assertThat(check.isWhole()).isFalse();
+    assertThat(check.isWrong()).isFalse();
+  }
+
+  @Property(tries = 50, seed = "21")
+  void missingTokenIsWrong(@ForAll @IntRange(max = LENGTH - 1) int index) {
+    List<String> events = events(PROMPT);
+    events.remove(index);
+    assertThat(check(events).isWrong()).isTrue();
+  }
+
+  @Property(tries = 50, seed = "22")
+  void doubledTokenIsWrong(@ForAll @IntRange(max = LENGTH - 1) int index) {
+    List<String> events = events(PROMPT);
+    events.add(index, events.get(index));
+    assertThat(check(events).isWrong()).isTrue();
+  }
+
+  @Property(tries = 50, seed = "23")
+  void tokenOfAnotherAnswerIsWrong(@ForAll @IntRange(max = LENGTH - 1) int index) {
+    List<String> events = events(PROMPT);
+    events.set(index, events(Prompt.ofUser("how thick is the keel")).get(index));
+    assertThat(check(events).isWrong()).isTrue();
+  }
+
+  @Example
+  void missingOffsetsAreCountedInOrder() {
+    List<String> events = events(PROMPT);
+    events.replaceAll(event -> event.replaceAll("\"offset\":\\d+,", ""));
+    assertThat(check(events).isWhole()).isTrue();
+    events.remove(3);
+    assertThat(check(events).isWrong()).isTrue();
+  }
+
+  @Example
+  void missingOrOtherUsageIsWrong() {
+    List<String> events = events(PROMPT);
+    events.set(LENGTH, events.get(LENGTH).replace("\"completion_tokens\":12", "\"x\":12"));
+    assertThat(check(events).isWrong()).isTrue();
+    events.remove(LENGTH);
+    assertThat(check(events).isWrong()).isTrue();
+  }
+
+  @Example
+  void errorEventEndsTheStreamWithItsKind() {
+    List<String> events = events(PROMPT).subList(0, 3);
+    events.add("data: {\"error\":{\"kind\":\"upstream_failed\",\"retry\":true}}");
+    AnswerCheck check = check(events);
+    assertThat(check.isWhole()).isFalse();
+    assertThat(check.isWrong()).isFalse();
+    assertThat(check.error().path("kind").asText()).isEqualTo("upstream_failed");
+  }
+
+  @Example
+  void plainAnswerOfAnotherPromptIsWrong() {
+    AnswerCheck own = new AnswerCheck(PROMPT, LENGTH);
+    String text = Answer.to(PROMPT).text(0, LENGTH);
+    own.plain(JSON.whole(text, "length", PROMPT.tokens(), LENGTH));
+    assertThat(own.isWhole()).isTrue();
+    AnswerCheck other = new AnswerCheck(Prompt.ofUser("how thick is the keel"), LENGTH);
+    other.plain(JSON.whole(text, "length", PROMPT.tokens(), LENGTH));
+    assertThat(other.isWrong()).isTrue();
+  }
+
+  @Property(tries = 100, seed = "24")
+  void eventsAreReadWhateverTheChunks(@ForAll long seed) {
+    byte[] stream =
+        (": comment\n\n" + String.join("\r\n\r\n", events(PROMPT)) + "\n").getBytes(UTF_8);
+    AnswerCheck check = new AnswerCheck(PROMPT, LENGTH);
+    EventReader reader = new EventReader(check::event);
+    reader.onSubscribe(new NoSubscription());
+    Random random = new Random(seed);
+    for (int from = 0; from < stream.length; ) {
+      int length = Math.min(stream.length - from, 1 + random.nextInt(40));
+      reader.onNext(List.of(ByteBuffer.wrap(stream, from, length)));
+      from += length;
+    }
+    assertThat(check.isWhole()).isTrue();
+  }
+}
