Send orders to engines, prove unused allotments after a crash, tell routers from control members

Cause: orders stayed queued; the allotment of a crashed router stayed stranded although its host has a disk; plain control members were counted as routers, which halved the usable engine slots. Change: OrderService sends what the order controller decides, within the lease up to the first byte; routers with a data folder write their watermark ahead of use and close earlier incarnations; routers publish their presence with the use of limits.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
@@ -11,6 +11,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -22,15 +23,23 @@
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.apache.pekko.http.javadsl.model.HttpResponse;
 import org.goldcrestfall.core.budget.AllotmentLedger;
+import org.goldcrestfall.core.budget.BlockWatermark;
 import org.goldcrestfall.core.common.ErrorKind;
 import org.goldcrestfall.core.common.Incarnation;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.common.RequestFailure;
+import org.goldcrestfall.core.consensus.Timing;
 import org.goldcrestfall.core.control.ConfigView;
 import org.goldcrestfall.core.control.ControlCommand;
 import org.goldcrestfall.core.control.ControlReply;
 import org.goldcrestfall.core.control.Tradeoff;
+import org.goldcrestfall.core.membership.UpstreamAnnouncement;
+import org.goldcrestfall.core.membership.UpstreamEntry;
+import org.goldcrestfall.core.order.OrderController;
+import org.goldcrestfall.core.order.OrderSettings;
 import org.goldcrestfall.daemon.budget.BudgetService;
+import org.goldcrestfall.daemon.budget.WatermarkStore;
+import org.goldcrestfall.daemon.budget.WatermarkWriter;
 import org.goldcrestfall.daemon.control.ControlAccess;
 import org.goldcrestfall.daemon.control.ControlClient;
 import org.goldcrestfall.daemon.control.ControlGroup;
@@ -45,11 +54,13 @@
 import org.goldcrestfall.daemon.http.OperatorEndpoint;
 import org.goldcrestfall.daemon.http.PlatformEndpoint;
 import org.goldcrestfall.daemon.metrics.DaemonMetrics;
+import org.goldcrestfall.daemon.order.OrderService;
 import org.goldcrestfall.daemon.peer.PeerOptions;
 import org.goldcrestfall.daemon.peer.PeerService;
 import org.goldcrestfall.daemon.settings.Role;
 import org.goldcrestfall.daemon.settings.Settings;
 import org.goldcrestfall.daemon.storage.FolderDisk;
+import org.goldcrestfall.daemon.upstream.ServiceClient;
 import org.goldcrestfall.wire.NettyPeerTransport;
 import org.goldcrestfall.wire.PeerSettings;
 
@@ -61,7 +72,12 @@
   /** Bound of the time until a configuration is in force on every reachable router. */
   public static final long CONFIG_BOUND_MILLIS = 11_000;
 
+  private static final long WEIGHT_LOAD_BURST = 1;
+  private static final int ORDER_ATTEMPTS = 3;
+  private static final long ORDER_TICK_MILLIS = 100;
+  private static final long WATERMARK_BLOCK_TOKENS = 20_000;
   private static final long REGISTER_RETRY_MILLIS = 500;
+  private static final long CLOSE_EARLIER_MILLIS = 1_000;
   private static final long SETTLE_MILLIS = 10_000;
   private static final long POLL_MILLIS = 50;
 
@@ -83,6 +99,7 @@
   private HttpFront front;
   private volatile RouterRole router;
   private volatile CallerEndpoint callers;
+  private volatile WatermarkWriter watermarks;
 
   /** Creates the daemon; {@link #start} starts it. */
   public Daemon(Settings settings) {
@@ -107,6 +124,9 @@
     control = new ControlAccess(new ControlClient(members, transport, clock, group));
     peers = new PeerService(peerOptions(members), transport, clock, machine);
     peers.start();
+    if (group != null) {
+      startOrders(machine);
+    }
     front = new HttpFront(system, settings, endpoints(), open);
     front.start().toCompletableFuture().get(10, TimeUnit.SECONDS);
     metrics.gauge("open_requests", "Requests whose answer is not complete", open::count);
@@ -168,6 +188,35 @@
         seed);
   }
 
+  private void startOrders(ControlStateMachine machine) {
+    OrderSettings orders =
+        new OrderSettings(
+            Timing.REGION.leaseMillis(),
+            settings.orders().timeoutMillis(),
+            settings.orders().weightLoadsPerMinute(),
+            WEIGHT_LOAD_BURST,
+            ORDER_ATTEMPTS);
+    OrderService service =
+        new OrderService(
+            new OrderController(orders),
+            group::status,
+            machine::queuedOrders,
+            this::engine,
+            new ServiceClient(system),
+            control,
+            new OrderService.Clocks(clock, utc),
+            settings.orders().timeoutMillis());
+    RouterRole.every(timer, ORDER_TICK_MILLIS, service::tick);
+  }
+
+  private Optional<OrderService.Engine> engine(String name) {
+    return peers.upstreams().entries().stream()
+        .map(UpstreamEntry::announcement)
+        .filter(a -> a.name().equals(name) && a.kind() == UpstreamAnnouncement.Kind.ENGINE)
+        .map(a -> new OrderService.Engine(a.address(), a.checksFencing()))
+        .findFirst();
+  }
+
   private List<Endpoint> endpoints() {
     List<Endpoint> out = new ArrayList<>();
     out.add(new PlatformEndpoint(metrics, this::notReadyReasons));
@@ -190,7 +239,7 @@
                 settings.peer().endpoint(),
                 nonce,
                 utc.nowMillis()))
-        .whenComplete(
+        .whenCompleteAsync(
             (r, e) -> {
               if (e == null && r instanceof ControlReply.Registered g) {
                 registered(new Incarnation(settings.host(), g.boot()));
@@ -199,7 +248,8 @@
               logger.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
                   "daemon: not registered yet: %s", e == null ? r : e.getMessage());
               timer.schedule(this::register, REGISTER_RETRY_MILLIS, TimeUnit.MILLISECONDS);
-            });
+            },
+            timer);
   }
 
   private void registered(Incarnation self) {
@@ -208,8 +258,7 @@
     if (!settings.has(Role.ROUTER)) {
       return;
     }
-    BudgetService budgets =
-        new BudgetService(new AllotmentLedger(self), control, this::tradeoff, clock);
+    BudgetService budgets = budgets(self);
     RouterRole.Parts parts =
         new RouterRole.Parts(
             settings, system, transport, peers, control, metrics, clock, utc, timer);
@@ -220,6 +269,29 @@
     router = role;
   }
 
+  private BudgetService budgets(Incarnation self) {
+    if (settings.dataFolder().isEmpty()) {
+      return new BudgetService(new AllotmentLedger(self), control, this::tradeoff, clock);
+    }
+    BlockWatermark mark = new BlockWatermark(WATERMARK_BLOCK_TOKENS);
+    BudgetService service =
+        new BudgetService(new AllotmentLedger(self, mark), control, this::tradeoff, clock);
+    try {
+      WatermarkStore store =
+          new WatermarkStore(
+              new FolderDisk(settings.dataFolder().get().resolve("budget")), settings.host());
+      // The file must exist before the first use, or its absence would prove nothing.
+      store.write(self, Map.of());
+      watermarks = new WatermarkWriter(store, mark, service);
+    } catch (IOException e) {
+      logger.atSevere().withCause(e).log("daemon: the watermark folder cannot be used");
+      return new BudgetService(new AllotmentLedger(self), control, this::tradeoff, clock);
+    }
+    RouterRole.every(
+        timer, CLOSE_EARLIER_MILLIS, () -> watermarks.closeEarlier(control, utc.nowMillis()));
+    return service;
+  }
+
   private Tradeoff tradeoff(String workspace) {
     ConfigView.Workspace w = peers.configView().workspaces().get(workspace);
     return w == null ? Tradeoff.STRICT : w.tradeoff();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
@@ -186,7 +186,7 @@
   }
 
   /** An exception would end a repeated task for good. */
-  private static void every(ScheduledExecutorService timer, long millis, Runnable task) {
+  static void every(ScheduledExecutorService timer, long millis, Runnable task) {
     timer.scheduleWithFixedDelay(
         () -> {
           try {
@@ -240,17 +240,23 @@
         .toList();
   }
 
-  /** Members without a registered incarnation, and control members, do not serve callers. */
+  /** Every router reports its use of limits, plain control members do not. */
   private List<RemoteAnswers.LiveRouter> liveRouters() {
     return peers.members().stream()
-        .filter(m -> m.live() && m.boot() > 0)
+        .filter(m -> m.live() && m.boot() > 0 && isRouter(m))
         .map(m -> new RemoteAnswers.LiveRouter(m.host(), m.zone(), m.address()))
         .toList();
   }
 
+  private boolean isRouter(Member m) {
+    return m.host().equals(settings.host())
+        || peers.usageOf(UsageCodec.ROUTER).containsKey(m.host());
+  }
+
   private Map<Incarnation, String> otherRouters() {
     return peers.members().stream()
-        .filter(m -> m.live() && m.boot() > 0 && !m.host().equals(settings.host()))
+        .filter(m -> m.live() && m.boot() > 0 && isRouter(m))
+        .filter(m -> !m.host().equals(settings.host()))
         .collect(Collectors.toMap(Member::incarnation, Member::address));
   }
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/UsageCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/UsageCodec.java
@@ -8,6 +8,9 @@
 /** Carries the use of limits in gossip, where a number is published for a name. */
 final class UsageCodec {
 
+  /** Published by every router, so that others can tell routers from plain control members. */
+  static final String ROUTER = "role/router";
+
   private static final String RATE = "rate/";
   private static final String RUNNING = "running/";
   private static final int MILLI = 1_000;
@@ -16,6 +19,7 @@
 
   /** Publishes this router's use and returns what the others have published, by router. */
   static Map<String, Map<String, Use>> reports(PeerService peers, Map<String, Use> own) {
+    peers.publishUsage(ROUTER, MILLI);
     Map<String, Map<String, Use>> out = new HashMap<>();
     own.forEach(
         (scope, use) -> {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
@@ -55,6 +55,7 @@
   private final Map<String, Long> asked = new HashMap<>();
   private final Set<String> returning = new HashSet<>();
   private final AtomicLong ids = new AtomicLong();
+  private volatile Runnable watermarkPending = () -> {};
   private boolean settling;
   private boolean draining;
 
@@ -78,6 +79,11 @@
     settlements = new SettlementQueue(ledger);
   }
 
+  /** Sets what runs when use has come close to the durable watermark. It must not block. */
+  public void onWatermarkPending(Runnable action) {
+    watermarkPending = action;
+  }
+
   /** Returns the router incarnation. */
   public Incarnation self() {
     return ledger.self();
@@ -100,6 +106,9 @@
         queue.add(new Waiter(r, future, now + RESERVE_WAIT_MILLIS));
       }
     }
+    if (!future.isDone()) {
+      watermarkPending.run();
+    }
     askForGrant(workspace);
     return future;
   }
@@ -165,6 +174,7 @@
       askForGrant(w);
     }
     settleNext();
+    watermarkPending.run();
   }
 
   /** Hands back what is not needed; {@code recalled} are the workspaces that lack tokens. */
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/WatermarkStore.java
@@ -0,0 +1,78 @@
+package org.goldcrestfall.daemon.budget;
+
+import com.fasterxml.jackson.core.type.TypeReference;
+import com.google.common.flogger.FluentLogger;
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.daemon.http.Json;
+import org.goldcrestfall.daemon.storage.Disk;
+import org.goldcrestfall.daemon.storage.SmallFile;
+
+/**
+ * The watermarks of this host's incarnations on disk, one file each: the highest use of every
+ * workspace that the incarnation may have reached. The file of an incarnation is written before its
+ * first use, so a missing file proves nothing.
+ */
+public final class WatermarkStore implements Closeable {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final String PREFIX = "watermark-";
+
+  private final Disk disk;
+  private final String host;
+
+  /** Creates the store on a disk, which it closes at the end. */
+  public WatermarkStore(Disk disk, String host) {
+    this.disk = disk;
+    this.host = host;
+  }
+
+  /** Writes the watermarks of an incarnation; they are durable when this method returns. */
+  public void write(Incarnation i, Map<String, Long> marks) throws IOException {
+    SmallFile.write(disk, PREFIX + i.boot(), Json.bytes(new TreeMap<>(marks)));
+  }
+
+  /** Returns the watermarks of earlier incarnations that are still on disk. */
+  public Map<Incarnation, Map<String, Long>> earlierThan(Incarnation self) throws IOException {
+    Map<Incarnation, Map<String, Long>> out = new TreeMap<>();
+    for (String name : disk.list()) {
+      if (!name.matches(PREFIX + "[0-9]{1,18}")) {
+        continue;
+      }
+      long boot = Long.parseLong(name.substring(PREFIX.length()));
+      if (boot >= self.boot()) {
+        continue;
+      }
+      read(name).ifPresent(marks -> out.put(new Incarnation(host, boot), marks));
+    }
+    return out;
+  }
+
+  /** A damaged file proves nothing, so the tokens of its incarnation stay stranded. */
+  private Optional<Map<String, Long>> read(String name) {
+    try {
+      Optional<byte[]> bytes = SmallFile.read(disk, name);
+      return bytes.isEmpty()
+          ? Optional.empty()
+          : Optional.of(
+              Json.mapper().readValue(bytes.get(), new TypeReference<Map<String, Long>>() {}));
+    } catch (IOException e) {
+      logger.atWarning().log("budget: %s cannot be read: %s", name, e.getMessage());
+      return Optional.empty();
+    }
+  }
+
+  /** Deletes the watermarks of an incarnation that the control group has closed. */
+  public void delete(Incarnation i) throws IOException {
+    disk.delete(PREFIX + i.boot());
+  }
+
+  @Override
+  public void close() throws IOException {
+    disk.close();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/order/OrderService.java
@@ -0,0 +1,159 @@
+package org.goldcrestfall.daemon.order;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Function;
+import java.util.function.Supplier;
+import org.apache.pekko.http.javadsl.model.ContentTypes;
+import org.apache.pekko.http.javadsl.model.HttpEntities;
+import org.apache.pekko.http.javadsl.model.HttpRequest;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.consensus.Role;
+import org.goldcrestfall.core.control.EngineOrder;
+import org.goldcrestfall.core.order.OrderController;
+import org.goldcrestfall.core.order.OrderEffect;
+import org.goldcrestfall.core.order.OrderResult;
+import org.goldcrestfall.daemon.control.ControlService;
+import org.goldcrestfall.daemon.control.ControlStatus;
+import org.goldcrestfall.daemon.http.Answers;
+import org.goldcrestfall.daemon.http.Json;
+import org.goldcrestfall.daemon.upstream.NotSentException;
+import org.goldcrestfall.daemon.upstream.ServiceAnswer;
+import org.goldcrestfall.daemon.upstream.ServiceClient;
+
+/** Sends the queued orders while this member leads, as {@link OrderController} decides. */
+public final class OrderService {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final int STATUS_OK = 200;
+  private static final int STATUS_CONFLICT = 409;
+
+  private final OrderController controller;
+  private final Supplier<ControlStatus> status;
+  private final Supplier<List<EngineOrder>> queued;
+  private final Function<String, Optional<Engine>> engines;
+  private final ServiceClient client;
+  private final ControlService control;
+  private final Clocks clocks;
+  private final long timeoutMillis;
+  private long leadingTerm = -1;
+
+  /** An announced engine. */
+  public record Engine(String address, boolean checksFencing) {}
+
+  /** The monotonic clock and the UTC clock. */
+  public record Clocks(MillisClock monotonic, MillisClock utc) {}
+
+  private record OrderBody(String orderId, long fencing, String action, String model) {}
+
+  /**
+   * Creates the service.
+   *
+   * @param queued orders without an outcome, by fencing number
+   * @param engines the announced engine of a name
+   * @param timeoutMillis longest time of one order
+   */
+  public OrderService(
+      OrderController controller,
+      Supplier<ControlStatus> status,
+      Supplier<List<EngineOrder>> queued,
+      Function<String, Optional<Engine>> engines,
+      ServiceClient client,
+      ControlService control,
+      Clocks clocks,
+      long timeoutMillis) {
+    this.controller = controller;
+    this.status = status;
+    this.queued = queued;
+    this.engines = engines;
+    this.client = client;
+    this.control = control;
+    this.clocks = clocks;
+    this.timeoutMillis = timeoutMillis;
+  }
+
+  /** Sends what is due. Call every 100 ms. */
+  public void tick() {
+    ControlStatus s = status.get();
+    List<OrderEffect> effects;
+    synchronized (this) {
+      long now = clocks.monotonic().nowMillis();
+      boolean leads = s.running() && s.role() == Role.LEADER;
+      if (leads && leadingTerm != s.term()) {
+        controller.lead(now);
+        leadingTerm = s.term();
+      } else if (!leads && leadingTerm >= 0) {
+        controller.follow();
+        leadingTerm = -1;
+      }
+      effects =
+          controller.tick(
+              now,
+              s.leaseUntil(),
+              queued.get(),
+              name -> engines.apply(name).map(Engine::checksFencing));
+    }
+    effects.forEach(this::perform);
+  }
+
+  private void perform(OrderEffect e) {
+    if (e instanceof OrderEffect.Send s) {
+      send(s);
+    } else if (e instanceof OrderEffect.Finish f) {
+      control.submit(f.command());
+    }
+  }
+
+  private void send(OrderEffect.Send s) {
+    EngineOrder o = s.order();
+    Optional<Engine> engine = engines.apply(o.engine());
+    if (engine.isEmpty()) {
+      answered(o, OrderResult.NOT_SENT, "the engine is not announced");
+      return;
+    }
+    OrderBody body = new OrderBody("order-" + o.fencing(), o.fencing(), o.action(), o.model());
+    HttpRequest request =
+        HttpRequest.POST("http://" + engine.get().address() + "/v1/orders")
+            .withEntity(HttpEntities.create(ContentTypes.APPLICATION_JSON, Json.bytes(body)));
+    logger.atInfo().log(
+        "order: sending %s %s to %s with fencing number %s",
+        o.action(), o.model(), o.engine(), o.fencing());
+    client
+        .call(
+            engine.get().address(),
+            request,
+            timeoutMillis,
+            () -> clocks.monotonic().nowMillis() < s.notAfterMillis())
+        .whenComplete(
+            (a, e) ->
+                answered(o, result(a, e), e == null ? text(a) : Answers.unwrap(e).toString()));
+  }
+
+  private static String text(ServiceAnswer a) {
+    return "the engine answered with status " + a.status();
+  }
+
+  private static OrderResult result(ServiceAnswer a, Throwable e) {
+    if (e != null) {
+      return Answers.unwrap(e) instanceof NotSentException
+          ? OrderResult.NOT_SENT
+          : OrderResult.UNKNOWN;
+    }
+    if (a.status() == STATUS_OK) {
+      return OrderResult.DONE;
+    }
+    return a.status() == STATUS_CONFLICT ? OrderResult.SUPERSEDED : OrderResult.FAILED;
+  }
+
+  private void answered(EngineOrder o, OrderResult r, String detail) {
+    logger.atInfo().log("order: %s on %s: %s, %s", o.fencing(), o.engine(), r, detail);
+    List<OrderEffect> effects;
+    synchronized (this) {
+      effects =
+          controller.answered(
+              o, r, detail, clocks.monotonic().nowMillis(), clocks.utc().nowMillis());
+    }
+    effects.forEach(this::perform);
+  }
+}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/storage/SmallFile.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/storage/SmallFile.java
@@ -7,14 +7,15 @@
 import java.util.zip.CRC32C;
 
 /** Files with a checksum that are replaced as a whole: write, sync, rename, sync of the folder. */
-final class SmallFile {
+public final class SmallFile {
 
   private static final String SUFFIX = ".tmp";
   private static final int HEADER_BYTES = 4;
 
   private SmallFile() {}
 
-  static void write(Disk disk, String name, byte[] content) throws IOException {
+  /** Replaces the content of a file; it is durable when this method returns. */
+  public static void write(Disk disk, String name, byte[] content) throws IOException {
     ByteBuffer bytes = ByteBuffer.allocate(HEADER_BYTES + content.length);
     bytes.putInt(checksum(content)).put(content).flip();
     try (Disk.DiskFile file = disk.open(name + SUFFIX)) {
@@ -27,7 +28,7 @@
   }
 
   /** Returns the content, or nothing if the file is absent. */
-  static Optional<byte[]> read(Disk disk, String name) throws IOException {
+  public static Optional<byte[]> read(Disk disk, String name) throws IOException {
     if (!disk.list().contains(name)) {
       return Optional.empty();
     }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ServiceClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ServiceClient.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.apache.pekko.http.javadsl.Http;
 import org.apache.pekko.http.javadsl.OutgoingConnection;
@@ -37,8 +39,18 @@
    *
    * @param address IP address and port of the service
    */
-  public CompletionStage<ServiceAnswer> call(
+  public CompletableFuture<ServiceAnswer> call(
       String address, HttpRequest request, long timeoutMillis) {
+    return call(address, request, timeoutMillis, () -> true);
+  }
+
+  /**
+   * Like {@link #call(String, HttpRequest, long)}, but fails with {@link NotSentException} if
+   * {@code maySend} does not hold when the connection stands and the first byte is about to be
+   * written.
+   */
+  public CompletableFuture<ServiceAnswer> call(
+      String address, HttpRequest request, long timeoutMillis, BooleanSupplier maySend) {
     int colon = address.lastIndexOf(':');
     String host = address.substring(0, colon);
     int port = Integer.parseInt(address.substring(colon + 1));
@@ -60,6 +72,11 @@
                 out.completeExceptionally(
                     new NotSentException("connection to " + address + " failed", e));
               }
+              if (e == null && !maySend.getAsBoolean()) {
+                out.completeExceptionally(new NotSentException("the time to send is over", null));
+                gate.completeExceptionally(new IOException("the time to send is over"));
+                return;
+              }
               gate.complete(request);
             });
     run.second()
@@ -72,7 +89,7 @@
                 out.completeExceptionally(new IOException("call to " + address + " failed", e));
               }
             });
-    return out.orTimeout(timeoutMillis, java.util.concurrent.TimeUnit.MILLISECONDS);
+    return out.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
   }
 
   private CompletionStage<ServiceAnswer> strict(HttpResponse r, long timeoutMillis) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/UpstreamPool.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/UpstreamPool.java
@@ -15,6 +15,7 @@
 import org.goldcrestfall.core.routing.PrefixHasher;
 import org.goldcrestfall.core.routing.Router;
 import org.goldcrestfall.core.routing.RoutingRequest;
+import org.goldcrestfall.core.routing.Send;
 
 /**
  * Picks upstreams for requests with the router's decision code, and feeds it with what happened.
@@ -22,6 +23,9 @@
  */
 public final class UpstreamPool implements EngineSelector {
 
+  /** Usual bytes of a prompt token, for estimates that money does not depend on. */
+  private static final int BYTES_PER_TOKEN = 4;
+
   private final Supplier<List<KnownUpstream>> known;
   private final IntSupplier liveRouters;
   private final Router router;
@@ -89,7 +93,8 @@
   @Override
   public Optional<Selection> select(ChatCall call, Set<String> excluded) {
     List<Long> prefix = PrefixHasher.hash(call.model(), call.promptText());
-    return choose("", call.model(), prefix, (int) call.promptBound(), excluded);
+    int promptTokens = (int) (call.promptBound() / BYTES_PER_TOKEN);
+    return choose("", call.model(), prefix, promptTokens, excluded);
   }
 
   /** Picks an instance of a plain service. */
@@ -112,19 +117,20 @@
         return Optional.empty();
       }
       String name = choice.get().name();
-      router.onSend(name, request, now);
+      Send send = router.onSend(name, request, now);
       KnownUpstream u = pool.stream().filter(k -> k.name().equals(name)).findFirst().orElseThrow();
-      return Optional.of(new Attempt(u));
+      return Optional.of(new Attempt(u, send));
     }
   }
 
   private final class Attempt implements Selection {
 
     private final KnownUpstream upstream;
-    private long firstTokenMillis = -1;
+    private final Send send;
 
-    Attempt(KnownUpstream upstream) {
+    Attempt(KnownUpstream upstream, Send send) {
       this.upstream = upstream;
+      this.send = send;
     }
 
     @Override
@@ -139,14 +145,16 @@
 
     @Override
     public void firstToken() {
-      firstTokenMillis = clock.nowMillis();
+      synchronized (UpstreamPool.this) {
+        router.onFirstToken(send, clock.nowMillis());
+      }
     }
 
     @Override
     public void finished() {
       long now = clock.nowMillis();
       synchronized (UpstreamPool.this) {
-        router.onCompletion(name(), holdMillis(now), now);
+        router.onCompletion(send, now);
         outliers.onSuccess(name(), now);
       }
     }
@@ -155,13 +163,9 @@
     public void failed() {
       long now = clock.nowMillis();
       synchronized (UpstreamPool.this) {
-        router.onCompletion(name(), -1, now);
+        router.onCompletion(send, now);
         outliers.onFailure(name(), now);
       }
     }
-
-    private long holdMillis(long now) {
-      return firstTokenMillis < 0 ? -1 : now - firstTokenMillis;
-    }
   }
 }
