Refuse a request for lack of tokens only when the control group has said so

A restarted router had no allotment or announcement yet. Change: a wait for tokens that ends without an answer of the control group is no_quorum, which a caller may retry; a router that started within the last 10 s refuses no model as unknown; /readyz waits for the first upstream.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
@@ -310,6 +310,9 @@
     if (settings.has(Role.ROUTER) && router == null) {
       reasons.add("the router is not registered with the control group");
     }
+    if (router != null && !router.isReady()) {
+      reasons.add("no upstream is known yet");
+    }
     if (settings.has(Role.ROUTER) && !peers.configConfirmed()) {
       reasons.add("the configuration was not checked with the control group");
     }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
@@ -65,6 +65,10 @@
   private static final long TICK_MILLIS = 100;
   private static final long MAINTENANCE_MILLIS = 1_000;
   private static final long CLOSED_CHECK_MILLIS = 5_000;
+
+  /** Twice the longest time to live of an announcement. */
+  private static final long SETTLE_MILLIS = 10_000;
+
   private static final int MAX_ANSWERS = 10_000;
   private static final long MAX_ANSWER_BYTES = 32L << 20;
   private static final long ANSWER_AGE_MILLIS = 300_000;
@@ -80,6 +84,7 @@
   private final AdmissionFilter admission;
   private final LimitFilter limits;
   private final FilterChain chain;
+  private final long startedMillis;
 
   /** What the role takes from the daemon. */
   record Parts(
@@ -99,6 +104,7 @@
     control = p.control();
     clock = p.clock();
     budgets = budgetService;
+    startedMillis = clock.nowMillis();
     Router router = new Router(settings.host(), settings.zone(), RouterSettings.DEFAULTS, seed);
     pool =
         new UpstreamPool(
@@ -139,7 +145,7 @@
         new FilterChain(
             List.of(
                 new AuthenticateFilter(peers::configView),
-                new ParseFilter(p.system(), settings.limits(), pool::isKnownModel),
+                new ParseFilter(p.system(), settings.limits(), this::mayServe),
                 new RequestIdFilter(),
                 new BookingRecordFilter(control),
                 new ReplayFilter(p.system(), answers, remote),
@@ -219,6 +225,20 @@
     limits.update(live, UsageCodec.reports(peers, limits.publish()));
   }
 
+  /** Until the announcements have had time to arrive, no model is refused as unknown. */
+  private boolean mayServe(String model) {
+    return pool.isKnownModel(model) || !isSettled();
+  }
+
+  private boolean isSettled() {
+    return clock.nowMillis() - startedMillis >= SETTLE_MILLIS;
+  }
+
+  /** Returns whether upstreams are known, or have had time to be. */
+  boolean isReady() {
+    return isSettled() || !peers.upstreams().entries().isEmpty();
+  }
+
   private List<KnownUpstream> knownUpstreams() {
     long now = clock.nowMillis();
     return peers.upstreams().routable(now).stream()
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
@@ -37,7 +37,7 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
   /** Longest time that a request waits for tokens before it is refused. */
-  public static final long RESERVE_WAIT_MILLIS = 1_500;
+  public static final long RESERVE_WAIT_MILLIS = 2_500;
 
   /** Requests that may wait for tokens of one workspace; more are refused at once. */
   static final int MAX_WAITERS = 256;
@@ -53,6 +53,7 @@
   private final MillisClock clock;
   private final Map<String, List<Waiter>> waiters = new HashMap<>();
   private final Map<String, Long> asked = new HashMap<>();
+  private final Map<String, Long> answeredMillis = new HashMap<>();
   private final Set<String> returning = new HashSet<>();
   private final AtomicLong ids = new AtomicLong();
   private volatile Runnable watermarkPending = () -> {};
@@ -60,7 +61,7 @@
   private boolean draining;
 
   private record Waiter(
-      ReservedTokens reservation, CompletableFuture<ReservedTokens> future, long untilMillis) {}
+      ReservedTokens reservation, CompletableFuture<ReservedTokens> future, long sinceMillis) {}
 
   /**
    * Creates the service of one incarnation.
@@ -103,7 +104,7 @@
         if (queue.size() >= MAX_WAITERS) {
           return CompletableFuture.failedFuture(exhausted(workspace));
         }
-        queue.add(new Waiter(r, future, now + RESERVE_WAIT_MILLIS));
+        queue.add(new Waiter(r, future, now));
       }
     }
     if (!future.isDone()) {
@@ -239,7 +240,7 @@
       }
       long now = clock.nowMillis();
       for (Waiter w : queue) {
-        if (w.untilMillis() <= now) {
+        if (now - w.sinceMillis() >= RESERVE_WAIT_MILLIS) {
           expired.add(w);
         }
       }
@@ -248,7 +249,9 @@
         waiters.remove(workspace);
       }
     }
-    expired.forEach(w -> w.future().completeExceptionally(exhausted(workspace)));
+    for (Waiter w : expired) {
+      w.future().completeExceptionally(refusal(workspace, w));
+    }
   }
 
   private long lacking(String workspace) {
@@ -291,6 +294,7 @@
     }
     boolean more;
     synchronized (this) {
+      answeredMillis.put(workspace, clock.nowMillis());
       if (r instanceof ControlReply.Granted g) {
         ledger.grantReceived(workspace, g.number(), g.tokens());
         more = g.tokens() > 0;
@@ -365,6 +369,17 @@
     }
   }
 
+  /** Without an answer to a grant it is not known that the budget is exhausted. */
+  private synchronized RequestFailure refusal(String workspace, Waiter w) {
+    return answeredMillis.getOrDefault(workspace, Long.MIN_VALUE) >= w.sinceMillis()
+        ? exhausted(workspace)
+        : new RequestFailure(
+            ErrorKind.NO_QUORUM,
+            "This router holds too few tokens of workspace "
+                + workspace
+                + ", and the control group does not answer.");
+  }
+
   private static RequestFailure exhausted(String workspace) {
     return new RequestFailure(
         ErrorKind.BUDGET_EXHAUSTED,
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/Budgets.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/Budgets.java
@@ -8,7 +8,8 @@
 
   /**
    * Sets tokens aside, asking the control group or other routers for more if needed. Fails with
-   * {@code RequestFailure(BUDGET_EXHAUSTED)}.
+   * {@code RequestFailure(BUDGET_EXHAUSTED)}, or {@code NO_QUORUM} if the control group does not
+   * answer.
    */
   CompletionStage<ReservedTokens> reserve(String workspace, long tokens);
 
