Test the storage on a failing disk and the single rules of the log

Cause: random schedules rarely strain some rules, and a disk can tear writes, fail syncs and fill up.

--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusRulesTest.java
@@ -0,0 +1,213 @@
+package org.goldcrestfall.core.consensus;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+
+/** Single members against hand-made messages, for rules that random faults rarely strain. */
+class ConsensusRulesTest {
+
+  private static final Timing TIMING = FakeGroup.TIMING;
+  private static final Limits LIMITS = new Limits(10_000, 10_000, 0);
+  private static final Members FIVE = members("a#1", "b#1", "c#1", "d#1", "e#1");
+  private static final byte[] NOTHING = new byte[0];
+
+  private final List<Effect> effects = new ArrayList<>();
+  private long now = 1_000;
+
+  private static Members members(String... ids) {
+    return Members.of(
+        List.of(ids).stream().map(i -> new Member(i, i.substring(0, 1), "address", true)).toList());
+  }
+
+  private static Entry entry(long term, long index) {
+    return new Entry(term, index, Entry.Type.COMMAND, new byte[] {(byte) term, (byte) index});
+  }
+
+  private Consensus start(Stored stored) {
+    return new Consensus("a#1", stored, TIMING, LIMITS, 1, now);
+  }
+
+  private void apply(Consensus member, Event event) {
+    List<Effect> next = member.apply(event, now);
+    effects.addAll(next);
+    for (Effect effect : next) {
+      if (effect instanceof Effect.Persist p) {
+        apply(member, new Event.Persisted(p.sequence()));
+      }
+    }
+  }
+
+  private void receive(Consensus member, Message message) {
+    apply(member, new Event.Received(message));
+  }
+
+  private Consensus elect(Stored stored) {
+    Consensus member = start(stored);
+    now += TIMING.electionMaxMillis();
+    apply(member, new Event.Tick());
+    for (boolean preVote : new boolean[] {true, false}) {
+      long term = stored.hardState().term() + 1;
+      for (String voter : List.of("b#1", "c#1")) {
+        receive(member, new Message.VoteReply(voter, "a#1", term, true, preVote));
+      }
+    }
+    assertThat(member.role()).isEqualTo(Role.LEADER);
+    return member;
+  }
+
+  private static Message appended(String from, long term, long match) {
+    return new Message.AppendReply(from, "a#1", term, true, match, 1);
+  }
+
+  private <T extends Effect> List<T> all(Class<T> type) {
+    return effects.stream().filter(type::isInstance).map(type::cast).toList();
+  }
+
+  /** Guards against two votes in one term over a restart. */
+  @Property(tries = 200, seed = "6101", shrinking = ShrinkingMode.OFF)
+  void memberVotesOnceInEachTermOverRestarts(@ForAll long seed) {
+    Random random = new Random(seed);
+    FakeHost host = new FakeHost(0, members("h0#1", "h1#1", "h2#1"));
+    host.start(TIMING, LIMITS, seed, now);
+    Map<Long, String> votes = new HashMap<>();
+    List<Effect> out = new ArrayList<>();
+    for (int i = 0; i < 60; i++) {
+      out.clear();
+      switch (random.nextInt(4)) {
+        case 0 -> {
+          host.kill(random.nextInt(2));
+          host.start(TIMING, LIMITS, seed + i, now);
+          now += TIMING.electionMinMillis();
+        }
+        case 1 -> {
+          Event synced = host.sync();
+          if (synced != null) {
+            out.addAll(host.consensus.apply(synced, now));
+          }
+        }
+        default -> {
+          String candidate = "h" + (1 + random.nextInt(2)) + "#1";
+          long term = Math.max(1, host.consensus.term() + random.nextInt(2));
+          Message m = new Message.VoteRequest(candidate, host.id, term, 0, 0, false);
+          out.addAll(host.consensus.apply(new Event.Received(m), now));
+        }
+      }
+      for (Effect effect : out) {
+        if (effect instanceof Effect.Persist p) {
+          host.unsynced.add(p);
+        } else if (effect instanceof Effect.Send s
+            && s.message() instanceof Message.VoteReply v
+            && v.granted()) {
+          assertThat(votes.getOrDefault(v.term(), v.to())).isEqualTo(v.to());
+          votes.put(v.term(), v.to());
+        }
+      }
+    }
+  }
+
+  /** Guards against committing by count an entry that a later leader may lack (Raft, figure 8). */
+  @Example
+  void entriesOfOlderTermsAreCommittedOnlyWithOneOfTheOwn() {
+    Snapshot base = Snapshot.initial(FIVE);
+    Stored stored = new Stored(new HardState(4, ""), base, List.of(entry(1, 1), entry(2, 2)));
+    Consensus leader = elect(stored);
+    receive(leader, appended("b#1", 5, 2));
+    receive(leader, appended("c#1", 5, 2));
+    assertThat(leader.commitIndex()).isZero();
+    receive(leader, appended("b#1", 5, 3));
+    receive(leader, appended("c#1", 5, 3));
+    assertThat(leader.commitIndex()).isEqualTo(3);
+  }
+
+  /** Guards against two changes under way, whose majorities need not overlap. */
+  @Example
+  void secondChangeOfMembersWaitsForTheCommitOfTheFirst() {
+    Snapshot base = Snapshot.initial(FIVE);
+    Consensus leader = elect(new Stored(new HardState(1, ""), base, List.of(entry(1, 1))));
+    apply(leader, new Event.Join(new Member("b#2", "b", "address", false)));
+    apply(leader, new Event.Join(new Member("c#2", "c", "address", false)));
+    assertThat(leader.lastIndex()).as("changes before the first commit of the term").isEqualTo(2);
+    for (long i = 2; i < 4; i++) {
+      receive(leader, appended("b#1", 2, i));
+      receive(leader, appended("c#1", 2, i));
+      assertThat(leader.lastIndex()).isEqualTo(i + 1);
+    }
+    assertThat(leader.members().all()).hasSize(7);
+  }
+
+  /** Guards against a late snapshot that takes back entries which were acknowledged. */
+  @Example
+  void lateSnapshotKeepsTheAcknowledgedEntriesBehindIt() {
+    Consensus follower = start(Stored.initial(FIVE));
+    List<Entry> entries = List.of(entry(1, 1), entry(1, 2), entry(1, 3));
+    receive(follower, new Message.AppendRequest("b#1", "a#1", 1, 0, 0, entries, 0, 1));
+    assertThat(all(Effect.Send.class))
+        .last()
+        .isEqualTo(new Effect.Send(new Message.AppendReply("a#1", "b#1", 1, true, 3, 1)));
+    receive(follower, new Message.SnapshotChunk("b#1", "a#1", 1, 2, 1, 0, NOTHING, true, FIVE));
+    assertThat(follower.lastIndex()).isEqualTo(3);
+    assertThat(follower.commitIndex()).isEqualTo(2);
+  }
+
+  /** Guards against a vote for a candidate that lacks entries which may be committed. */
+  @Example
+  void candidateWithShorterLogGetsNoVote() {
+    Snapshot base = Snapshot.initial(FIVE);
+    Consensus voter = start(new Stored(new HardState(3, ""), base, List.of(entry(2, 1))));
+    now += TIMING.electionMinMillis();
+    receive(voter, new Message.VoteRequest("b#1", "a#1", 4, 0, 0, false));
+    receive(voter, new Message.VoteRequest("c#1", "a#1", 5, 9, 1, false));
+    receive(voter, new Message.VoteRequest("d#1", "a#1", 6, 1, 2, false));
+    List<Boolean> granted =
+        all(Effect.Send.class).stream()
+            .map(s -> ((Message.VoteReply) s.message()).granted())
+            .toList();
+    assertThat(granted).containsExactly(false, false, true);
+  }
+
+  /** Guards against entries behind a gap or a conflict. */
+  @Example
+  void entriesBehindDifferentEntryAreRefused() {
+    Snapshot base = Snapshot.initial(FIVE);
+    Consensus follower = start(new Stored(new HardState(3, ""), base, List.of(entry(2, 1))));
+    List<Entry> entries = List.of(entry(3, 2));
+    receive(follower, new Message.AppendRequest("b#1", "a#1", 3, 1, 3, entries, 2, 1));
+    assertThat(follower.lastIndex()).isEqualTo(1);
+    assertThat(follower.commitIndex()).isZero();
+    assertThat(all(Effect.Send.class))
+        .last()
+        .isEqualTo(new Effect.Send(new Message.AppendReply("a#1", "b#1", 3, false, 1, 1)));
+  }
+
+  /** Guards against answers of a host for the member that it was before it lost its disk. */
+  @Example
+  void messagesForAnotherMemberNumberAreIgnored() {
+    Consensus member = start(Stored.initial(FIVE));
+    now += TIMING.electionMinMillis();
+    receive(member, new Message.VoteRequest("b#1", "a#0", 4, 9, 3, false));
+    assertThat(effects).isEmpty();
+    assertThat(member.term()).isZero();
+  }
+
+  /** Guards against a leader whose disk is full and that still takes commands. */
+  @Example
+  void leaderWithFullDiskRefusesCommandsAndStepsDown() {
+    Snapshot base = Snapshot.initial(FIVE);
+    Consensus leader = elect(new Stored(new HardState(1, ""), base, List.of(entry(1, 1))));
+    apply(leader, new Event.DiskChanged(false));
+    apply(leader, new Event.Propose(7, NOTHING));
+    assertThat(all(Effect.ProposalFailed.class))
+        .containsExactly(new Effect.ProposalFailed(7, false));
+    apply(leader, new Event.Tick());
+    assertThat(leader.role()).isEqualTo(Role.FOLLOWER);
+  }
+}
--- a/core/src/test/java/org/goldcrestfall/core/consensus/FakeHost.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/FakeHost.java
@@ -81,6 +81,11 @@
     return event;
   }
 
+  /** Returns the index of the last entry that is on disk. */
+  long lastOnDisk() {
+    return entries.isEmpty() ? snapshot.lastIndex() : entries.get(entries.size() - 1).index();
+  }
+
   private void write(Object request) {
     if (request instanceof Snapshot s) {
       entries.removeIf(e -> e.index() <= s.lastIndex());
--- a/core/src/test/java/org/goldcrestfall/core/consensus/Observations.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/Observations.java
@@ -28,6 +28,11 @@
   int replies;
   int reads;
 
+  /** Returns how many terms had a leader, for checks that a run did something. */
+  int leaders() {
+    return leaders.size();
+  }
+
   void leads(Consensus member) {
     if (member.role() == Role.LEADER) {
       String first = leaders.putIfAbsent(member.term(), member.self());
--- a/daemon/src/main/java/org/goldcrestfall/daemon/storage/SegmentedLog.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/storage/SegmentedLog.java
@@ -95,10 +95,9 @@
   private void openAt(long first, long end) throws IOException {
     file = disk.open(name(first));
     offset = end;
-    if (file.size() > end) {
-      file.truncate(end);
-      file.sync();
-    }
+    // Also where the length is right already: the sync of an earlier cut may have failed.
+    file.truncate(end);
+    file.sync();
   }
 
   long lastIndex() {
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/storage/DataFolderTest.java
@@ -0,0 +1,272 @@
+package org.goldcrestfall.daemon.storage;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.LongStream;
+import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import org.goldcrestfall.core.consensus.Effect;
+import org.goldcrestfall.core.consensus.Entry;
+import org.goldcrestfall.core.consensus.HardState;
+import org.goldcrestfall.core.consensus.Members;
+import org.goldcrestfall.core.consensus.Snapshot;
+import org.goldcrestfall.core.consensus.Stored;
+
+/** Guards against losing synced data, or using data that cannot be trusted. */
+class DataFolderTest {
+
+  private static final long SEGMENT_BYTES = 400;
+
+  private final FakeDisk disk = new FakeDisk();
+  private long sequence;
+
+  private static Entry entry(long term, long index) {
+    byte[] payload = ("command " + term + "/" + index + " ").repeat(3).getBytes(UTF_8);
+    return new Entry(term, index, Entry.Type.COMMAND, payload);
+  }
+
+  private static List<Entry> entries(long term, long first, long last) {
+    return LongStream.rangeClosed(first, last).mapToObj(i -> entry(term, i)).toList();
+  }
+
+  private Effect.Persist append(List<Entry> entries) {
+    return new Effect.Persist(++sequence, null, null, entries.get(0).index(), entries);
+  }
+
+  private DataFolder open() throws IOException {
+    return new DataFolder(disk, SEGMENT_BYTES);
+  }
+
+  private Stored reload() throws IOException {
+    return open().load();
+  }
+
+  private DataFolder filled(int batches) throws IOException {
+    DataFolder folder = open();
+    folder.load();
+    for (int i = 0; i < batches; i++) {
+      folder.write(List.of(append(entries(1, 2L * i + 1, 2L * i + 2))));
+    }
+    return folder;
+  }
+
+  @Example
+  void entriesAndVoteAreReadBack() throws IOException {
+    DataFolder folder = filled(10);
+    folder.write(
+        List.of(new Effect.Persist(++sequence, new HardState(7, "a#1"), null, 0, List.of())));
+    Stored stored = reload();
+    assertThat(stored.entries()).isEqualTo(entries(1, 1, 20));
+    assertThat(stored.hardState()).isEqualTo(new HardState(7, "a#1"));
+  }
+
+  @Example
+  void conflictingEntriesAreCutOverSeveralSegments() throws IOException {
+    DataFolder folder = filled(10);
+    folder.write(List.of(append(entries(2, 5, 6)), append(entries(3, 6, 8))));
+    List<Entry> expected = new ArrayList<>(entries(1, 1, 4));
+    expected.add(entry(2, 5));
+    expected.addAll(entries(3, 6, 8));
+    assertThat(reload().entries()).isEqualTo(expected);
+  }
+
+  @Example
+  void tornTailIsCutAndTheLogGoesOn() throws IOException {
+    filled(3);
+    String last = lastSegment();
+    int size = disk.read(last).length;
+    disk.open(last).truncate(size - 5);
+    DataFolder folder = open();
+    assertThat(folder.load().entries()).isEqualTo(entries(1, 1, 5));
+    folder.write(List.of(append(entries(2, 6, 7))));
+    assertThat(reload().entries()).hasSize(7).endsWith(entry(2, 6), entry(2, 7));
+  }
+
+  private String lastSegment() {
+    return disk.list().stream().filter(n -> n.startsWith("log-")).reduce("", (a, b) -> b);
+  }
+
+  @Example
+  void damageBeforeLaterBatchIsRefusedWithItsPlace() throws IOException {
+    filled(2);
+    disk.damage(lastSegment(), 130);
+    DamagedLogException e = catchThrowableOfType(DamagedLogException.class, this::reload);
+    assertThat(e.file()).isEqualTo("log-00000000000000000001");
+    assertThat(e.index()).isEqualTo(2);
+    assertThat(e.offset()).isBetween(1L, 130L);
+    assertThat(e).hasMessageContaining("offset " + e.offset() + ", index 2");
+  }
+
+  @Example
+  void damageInClosedSegmentIsRefused() throws IOException {
+    filled(10);
+    String first = disk.list().get(0);
+    disk.damage(first, disk.read(first).length - 3);
+    assertThatThrownBy(this::reload)
+        .isInstanceOf(DamagedLogException.class)
+        .hasMessageContaining(first);
+  }
+
+  @Example
+  void missingSegmentIsRefused() throws IOException {
+    filled(20);
+    disk.delete(disk.list().get(1));
+    assertThatThrownBy(this::reload)
+        .isInstanceOf(DamagedLogException.class)
+        .hasMessageContaining("missing");
+  }
+
+  @Example
+  void damagedVoteOrSnapshotIsRefused() throws IOException {
+    DataFolder folder = filled(3);
+    folder.write(
+        List.of(new Effect.Persist(++sequence, new HardState(2, "b"), null, 0, List.of())));
+    disk.damage("vote", 5);
+    assertThatThrownBy(this::reload).isInstanceOf(DamagedLogException.class);
+    disk.damage("vote", 5);
+    folder.compact(new Snapshot(4, 1, Members.NONE, "state".getBytes(UTF_8)));
+    disk.damage("snapshot-00000000000000000004", 20);
+    assertThatThrownBy(this::reload)
+        .isInstanceOf(DamagedLogException.class)
+        .hasMessageContaining("snapshot-");
+  }
+
+  @Example
+  void snapshotReplacesTheLogThatItCovers() throws IOException {
+    DataFolder folder = filled(20);
+    folder.compact(new Snapshot(31, 1, Members.NONE, "state".getBytes(UTF_8)));
+    Stored stored = reload();
+    assertThat(new String(stored.snapshot().data(), UTF_8)).isEqualTo("state");
+    assertThat(stored.entries()).isEqualTo(entries(1, 32, 40));
+    assertThat(disk.list()).doesNotContain("log-00000000000000000001");
+  }
+
+  @Example
+  void installedSnapshotReplacesTheWholeLog() throws IOException {
+    DataFolder folder = filled(5);
+    Snapshot installed = new Snapshot(100, 4, Members.NONE, new byte[3]);
+    folder.write(
+        List.of(
+            append(entries(2, 11, 12)),
+            new Effect.Persist(++sequence, null, installed, 0, List.of()),
+            append(entries(4, 101, 103))));
+    Stored stored = reload();
+    assertThat(stored.snapshot().lastIndex()).isEqualTo(100);
+    assertThat(stored.entries()).isEqualTo(entries(4, 101, 103));
+  }
+
+  @Example
+  void batchIsCoveredByOneSync() throws IOException {
+    DataFolder folder = filled(1);
+    int before = disk.syncs();
+    folder.write(List.of(append(entries(1, 3, 3)), append(entries(1, 4, 4))));
+    assertThat(disk.syncs()).isEqualTo(before + 1);
+  }
+
+  @Example
+  void fullDiskKeepsWhatWasSyncedAndTakesTheBatchLater() throws IOException {
+    DataFolder folder = filled(3);
+    List<Effect.Persist> batch =
+        List.of(
+            new Effect.Persist(++sequence, new HardState(3, "c"), null, 0, List.of()),
+            append(entries(3, 7, 20)));
+    disk.setCapacity(disk.used() + 100);
+    assertThatThrownBy(() -> folder.write(batch)).hasMessageContaining("No space left");
+    assertThat(reload().entries()).startsWith(entries(1, 1, 6).toArray(Entry[]::new));
+    disk.setCapacity(Long.MAX_VALUE);
+    folder.write(batch);
+    assertThat(reload().entries()).hasSize(20).endsWith(entry(3, 20));
+    assertThat(reload().hardState()).isEqualTo(new HardState(3, "c"));
+  }
+
+  @Example
+  void filesSetAsideLeaveAnEmptyFolder() throws IOException {
+    DataFolder folder = filled(3);
+    folder.writeIdentity(new Identity("a#1", false));
+    DataFolder.setAside(disk);
+    assertThat(open().identity()).isEmpty();
+    assertThat(reload().entries()).isEmpty();
+    assertThat(disk.list()).isNotEmpty().allMatch(n -> n.startsWith("damaged-1-"));
+  }
+
+  @Example
+  void secondProcessIsRefused() throws IOException {
+    Path path = Files.createTempDirectory("data-folder");
+    try (FolderDisk first = new FolderDisk(path)) {
+      assertThat(first.list()).isEmpty();
+      assertThatThrownBy(() -> new FolderDisk(path)).hasMessageContaining("in use");
+    }
+    new FolderDisk(path).close();
+  }
+
+  /** Guards against synced entries or votes that are gone after crashes and failed syncs. */
+  @Property(tries = 300, seed = "4101", shrinking = ShrinkingMode.OFF)
+  void nothingSyncedIsLostOverCrashes(@ForAll long seed) throws IOException {
+    Random random = new Random(seed);
+    FakeDisk crashing = new FakeDisk();
+    DataFolder folder = new DataFolder(crashing, SEGMENT_BYTES);
+    folder.load();
+    List<Entry> synced = new ArrayList<>();
+    HardState vote = HardState.INITIAL;
+    for (int i = 1; i < 40; i++) {
+      long first = Math.max(1, synced.size() + 1 - random.nextInt(3));
+      if (!synced.isEmpty() && first <= synced.size() && random.nextInt(3) > 0) {
+        first = synced.size() + 1;
+      }
+      List<Entry> added = entries(i, first, first + random.nextInt(5));
+      HardState next = random.nextInt(4) == 0 ? new HardState(i, "h" + i) : null;
+      List<Effect.Persist> batch =
+          List.of(new Effect.Persist(++sequence, next, null, first, added));
+      int fault = random.nextInt(6);
+      if (fault == 0) {
+        crashing.failSyncs(1 + random.nextInt(2));
+      } else if (fault == 1) {
+        crashing.setCapacity(crashing.used() + random.nextInt(300));
+      }
+      boolean written = isWritten(folder, batch);
+      crashing.failSyncs(0);
+      crashing.setCapacity(Long.MAX_VALUE);
+      if (!written && random.nextBoolean()) {
+        written = isWritten(folder, batch);
+        assertThat(written).isTrue();
+      }
+      List<Entry> whole = new ArrayList<>(synced.subList(0, (int) first - 1));
+      whole.addAll(added);
+      if (written) {
+        synced = whole;
+        vote = next == null ? vote : next;
+      }
+      if (!written || random.nextInt(3) == 0) {
+        crashing.crash(random);
+        folder = new DataFolder(crashing, SEGMENT_BYTES);
+        Stored stored = folder.load();
+        List<Entry> kept = synced.subList(0, written ? synced.size() : (int) first - 1);
+        assertThat(stored.entries()).hasSizeGreaterThanOrEqualTo(kept.size());
+        assertThat(stored.entries().subList(0, kept.size())).isEqualTo(kept);
+        assertThat(stored.hardState()).isIn(vote, next == null ? vote : next);
+        synced = new ArrayList<>(stored.entries());
+        vote = stored.hardState();
+      }
+    }
+  }
+
+  private static boolean isWritten(DataFolder folder, List<Effect.Persist> batch) {
+    try {
+      folder.write(batch);
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/storage/FakeDisk.java
@@ -0,0 +1,163 @@
+package org.goldcrestfall.daemon.storage;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+
+/**
+ * A disk in memory that keeps apart what was written and what is durable. A crash keeps what was
+ * synced, and of the rest any part in blocks; writes and syncs can be made to fail.
+ */
+public final class FakeDisk implements Disk {
+
+  private static final int BLOCK_BYTES = 64;
+
+  private static final class Content {
+    private byte[] written = new byte[0];
+    private byte[] durable = new byte[0];
+  }
+
+  private final TreeMap<String, Content> files = new TreeMap<>();
+  private TreeMap<String, Content> durableFiles = new TreeMap<>();
+  private long capacity = Long.MAX_VALUE;
+  private int failingSyncs;
+  private int syncs;
+
+  /** Limits the bytes of all files together. */
+  public synchronized void setCapacity(long bytes) {
+    capacity = bytes;
+  }
+
+  /** Lets the next syncs of files fail, with none of the bytes durable. */
+  public synchronized void failSyncs(int count) {
+    failingSyncs = count;
+  }
+
+  /** Returns the number of syncs of files so far. */
+  public synchronized int syncs() {
+    return syncs;
+  }
+
+  /** Returns the bytes in use. */
+  public synchronized long used() {
+    return files.values().stream().mapToLong(c -> c.written.length).sum();
+  }
+
+  /** Ends the process and the power: of unsynced bytes, random blocks have reached the disk. */
+  public synchronized void crash(Random random) {
+    for (Content c : durableFiles.values()) {
+      byte[] after = Arrays.copyOf(c.durable, Math.max(c.durable.length, c.written.length));
+      int end = c.durable.length;
+      for (int at = 0; at < c.written.length; at += BLOCK_BYTES) {
+        int length = Math.min(BLOCK_BYTES, c.written.length - at);
+        if (random.nextBoolean()) {
+          System.arraycopy(c.written, at, after, at, length);
+          end = Math.max(end, at + length);
+        }
+      }
+      c.durable = Arrays.copyOf(after, end);
+      c.written = c.durable.clone();
+    }
+    files.clear();
+    files.putAll(durableFiles);
+  }
+
+  /** Inverts a byte of a file, durably. */
+  public synchronized void damage(String name, int offset) {
+    Content c = files.get(name);
+    c.written[offset] ^= 0x55;
+    c.durable = c.written.clone();
+  }
+
+  @Override
+  public synchronized List<String> list() {
+    return List.copyOf(files.keySet());
+  }
+
+  @Override
+  public synchronized DiskFile open(String name) {
+    return new OpenFile(files.computeIfAbsent(name, n -> new Content()));
+  }
+
+  @Override
+  public synchronized byte[] read(String name) {
+    return files.get(name).written.clone();
+  }
+
+  @Override
+  public synchronized void rename(String from, String to) {
+    files.put(to, files.remove(from));
+  }
+
+  @Override
+  public synchronized void delete(String name) {
+    files.remove(name);
+  }
+
+  @Override
+  public synchronized void syncFolder() {
+    durableFiles = new TreeMap<>(files);
+  }
+
+  @Override
+  public void close() {}
+
+  private final class OpenFile implements DiskFile {
+
+    private final Content content;
+
+    OpenFile(Content content) {
+      this.content = content;
+    }
+
+    @Override
+    public long size() {
+      synchronized (FakeDisk.this) {
+        return content.written.length;
+      }
+    }
+
+    @Override
+    public void write(long offset, ByteBuffer bytes) throws IOException {
+      synchronized (FakeDisk.this) {
+        int end = (int) offset + bytes.remaining();
+        int room = (int) Math.min(bytes.remaining(), Math.max(0, capacity - used()));
+        boolean full = end > content.written.length && room < bytes.remaining();
+        int length = full ? room : bytes.remaining();
+        int size = Math.max(content.written.length, (int) offset + length);
+        content.written = Arrays.copyOf(content.written, size);
+        bytes.get(content.written, (int) offset, length);
+        if (full) {
+          throw new IOException("No space left on device");
+        }
+      }
+    }
+
+    @Override
+    public void truncate(long size) {
+      synchronized (FakeDisk.this) {
+        if (size < content.written.length) {
+          content.written = Arrays.copyOf(content.written, (int) size);
+        }
+      }
+    }
+
+    @Override
+    public void sync() throws IOException {
+      synchronized (FakeDisk.this) {
+        syncs++;
+        if (failingSyncs > 0) {
+          failingSyncs--;
+          throw new IOException("Input/output error");
+        }
+        content.durable = content.written.clone();
+      }
+    }
+
+    @Override
+    public void close() {}
+  }
+}
