Test control members under faults of disk and network

Cause: a wrong answer about a command or a full disk would break the promises on money and bookings.

--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
@@ -17,6 +17,7 @@
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.consensus.Role;
 import org.goldcrestfall.core.consensus.Timing;
+import org.goldcrestfall.daemon.storage.Disk;
 import org.goldcrestfall.daemon.storage.FolderDisk;
 import org.goldcrestfall.wire.PeerTransport;
 
@@ -50,17 +51,15 @@
   }
 
   ControlGroup start(String host) throws IOException {
+    return start(host, new FolderDisk(folder.resolve(host)));
+  }
+
+  ControlGroup start(String host, Disk disk) throws IOException {
     PeerTransport transport = network.connect(host, addresses.get(host));
     ControlSettings settings =
         new ControlSettings(host, addresses, FAST, snapshotEntries, Long.MAX_VALUE);
     ControlGroup group =
-        ControlGroup.open(
-            settings,
-            new FolderDisk(folder.resolve(host)),
-            new ListMachine(),
-            transport,
-            clock,
-            host.hashCode());
+        ControlGroup.open(settings, disk, new ListMachine(), transport, clock, host.hashCode());
     groups.put(host, group);
     return group;
   }
@@ -108,6 +107,15 @@
     return leader.get(0);
   }
 
+  /** Returns a client in the process of a member. */
+  ControlClient localClient(String host) {
+    return new ControlClient(
+        addresses.values().asList(),
+        network.transport(addresses.get(host)),
+        clock,
+        groups.get(host));
+  }
+
   /** Returns a client on a host that is no member. */
   ControlClient client() {
     PeerTransport transport = network.connect("router", "127.0.0.1:8999");
--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeNetwork.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeNetwork.java
@@ -23,6 +23,10 @@
     return transport;
   }
 
+  PeerTransport transport(String address) {
+    return transports.get(address);
+  }
+
   void isolate(String address) {
     isolated.add(address);
   }
