--- a/core/src/main/java/org/goldcrestfall/core/control/ControlQuery.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/ControlQuery.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.annotation.JsonSubTypes;
 import com.fasterxml.jackson.annotation.JsonTypeInfo;
+import org.goldcrestfall.core.common.Incarnation;
 
 /** A read of the control state; the answer is JSON of the records named at each query. */
 @JsonTypeInfo(use = JsonTypeInfo.Id.NAME, property = "type")
@@ -11,10 +12,13 @@
   @JsonSubTypes.Type(value = ControlQuery.Billing.class, name = "billing"),
   @JsonSubTypes.Type(value = ControlQuery.BillingOf.class, name = "billing_of"),
   @JsonSubTypes.Type(value = ControlQuery.Bookings.class, name = "bookings"),
+  @JsonSubTypes.Type(value = ControlQuery.BookingOf.class, name = "booking_of"),
   @JsonSubTypes.Type(value = ControlQuery.PlanOf.class, name = "plan_of"),
   @JsonSubTypes.Type(value = ControlQuery.Audit.class, name = "audit"),
   @JsonSubTypes.Type(value = ControlQuery.Hosts.class, name = "hosts"),
-  @JsonSubTypes.Type(value = ControlQuery.Orders.class, name = "orders")
+  @JsonSubTypes.Type(value = ControlQuery.Orders.class, name = "orders"),
+  @JsonSubTypes.Type(value = ControlQuery.Recalls.class, name = "recalls"),
+  @JsonSubTypes.Type(value = ControlQuery.Accounts.class, name = "accounts")
 })
 public sealed interface ControlQuery {
 
@@ -33,15 +37,24 @@
   /** The newest bookings of a workspace: a list of {@link Booking}. */
   record Bookings(String workspace, int limit) implements ControlQuery {}
 
+  /** The booking under a request id: a list of none or one {@link Booking}. */
+  record BookingOf(String workspace, String requestId) implements ControlQuery {}
+
   /** One plan: a {@link Plan}. */
   record PlanOf(long planId) implements ControlQuery {}
 
   /** The newest audit entries, of one object where {@code object} is not empty. */
   record Audit(String object, int limit) implements ControlQuery {}
 
-  /** The registered hosts with their newest incarnation. */
+  /** The registered hosts with their newest incarnation: a list of {@link HostRecord}. */
   record Hosts() implements ControlQuery {}
 
-  /** The newest orders to engines. */
+  /** The newest orders to engines: a list of {@link EngineOrder}. */
   record Orders(int limit) implements ControlQuery {}
+
+  /** The workspaces whose routers lack tokens: a list of {@link Recall}. */
+  record Recalls() implements ControlQuery {}
+
+  /** The accounts of an incarnation: a list of {@link AllotmentAccount}. */
+  record Accounts(Incarnation incarnation) implements ControlQuery {}
 }
--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
@@ -28,7 +28,7 @@
   private static final long LIMIT_SECONDS = 20;
 
   final FakeNetwork network = new FakeNetwork();
-  final MillisClock clock = MillisClock.system();
+  final MillisClock clock = MillisClock.monotonic();
   private final Path folder;
   private final ImmutableSortedMap<String, String> addresses;
   private final int snapshotEntries;
