--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/BookingFilter.java
@@ -0,0 +1,167 @@
+package org.goldcrestfall.daemon.filter;
+
+import com.google.common.flogger.FluentLogger;
+import java.util.Base64;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionStage;
+import java.util.concurrent.TimeUnit;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.javadsl.model.headers.RawHeader;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.RequestFailure;
+import org.goldcrestfall.core.control.Booking;
+import org.goldcrestfall.core.control.BookingOutcome;
+import org.goldcrestfall.core.control.ControlReply;
+import org.goldcrestfall.daemon.budget.BookingService;
+import org.goldcrestfall.daemon.http.Answers;
+import org.goldcrestfall.daemon.upstream.EngineSelector;
+import org.goldcrestfall.daemon.upstream.NotSentException;
+import org.goldcrestfall.daemon.upstream.ServiceAnswer;
+import org.goldcrestfall.daemon.upstream.ServiceClient;
+import org.goldcrestfall.daemon.upstream.UpstreamPool;
+
+/**
+ * Runs bookings at most once, as design section 5.4 specifies: the start is committed before the
+ * first byte leaves, the outcome after, and a retry finds the record.
+ */
+public final class BookingFilter implements RequestFilter {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Longest kept answer; a longer one is passed on, and a retry gets its status only. */
+  static final int MAX_KEPT_BYTES = 64 * 1024;
+
+  /** Longest wait for the commit of an outcome before the caller is answered. */
+  private static final long OUTCOME_WAIT_MILLIS = 2_000;
+
+  private static final int MAX_INSTANCES = 3;
+
+  private final UpstreamPool pool;
+  private final ServiceClient client;
+  private final BookingService bookings;
+
+  /** Creates the filter. */
+  public BookingFilter(UpstreamPool pool, ServiceClient client, BookingService bookings) {
+    this.pool = pool;
+    this.client = client;
+    this.bookings = bookings;
+  }
+
+  @Override
+  public CompletionStage<HttpResponse> apply(RequestContext c, Next next) {
+    String service = c.service().service().name();
+    BookingService.Request r =
+        new BookingService.Request(c.reservation(), c.requestId(), c.bodyHash(), service);
+    return bookings
+        .start(r)
+        .handle((s, e) -> e == null ? started(c, s) : this.<HttpResponse>fail(notStarted(c, e)))
+        .thenCompose(f -> f)
+        .whenComplete((a, e) -> c.end());
+  }
+
+  private <T> CompletionStage<T> fail(Throwable e) {
+    return CompletableFuture.failedFuture(e);
+  }
+
+  private static RequestFailure notStarted(RequestContext c, Throwable e) {
+    logger.atInfo().log(
+        "booking: start of request %s is not known to be committed: %s",
+        c.requestId(), Answers.unwrap(e).getMessage());
+    return c.isIdFromCaller()
+        ? undecided("The control group does not answer")
+        : new RequestFailure(ErrorKind.NO_QUORUM, "The control group does not answer.");
+  }
+
+  private CompletionStage<HttpResponse> started(RequestContext c, BookingService.Started s) {
+    c.bookingRecordRead();
+    return switch (s.decision()) {
+      case SEND -> send(c, s.attempt(), new HashSet<>());
+      case ANSWER ->
+          CompletableFuture.completedFuture(replay(c, ((ControlReply.Booked) s.reply()).booking()));
+      case REFUSE -> {
+        ControlReply.Refused f = (ControlReply.Refused) s.reply();
+        throw new RequestFailure(f.kind(), f.message());
+      }
+      case IGNORE -> throw new IllegalStateException("a start was answered twice");
+    };
+  }
+
+  /** Answers a retry from the record. */
+  static HttpResponse replay(RequestContext c, Booking b) {
+    switch (b.outcome()) {
+      case RAN:
+        byte[] body = b.body() == null ? new byte[0] : Base64.getDecoder().decode(b.body());
+        return ServiceFilter.answer(c, new ServiceAnswer(b.status(), b.contentType(), body))
+            .addHeader(RawHeader.create("Goldcrestfall-Replayed", "true"));
+      case UNKNOWN:
+        throw unknown();
+      default:
+        throw new RequestFailure(
+            ErrorKind.BOOKING_IN_PROGRESS, "The booking was started and has no outcome yet.");
+    }
+  }
+
+  private CompletionStage<HttpResponse> send(RequestContext c, long attempt, Set<String> failed) {
+    Optional<EngineSelector.Selection> chosen =
+        failed.size() >= MAX_INSTANCES
+            ? Optional.empty()
+            : pool.selectService(c.service().service().name(), failed);
+    if (chosen.isEmpty()) {
+      return notSent(c, attempt);
+    }
+    EngineSelector.Selection instance = chosen.get();
+    long timeout = ServiceFilter.CALL_MILLIS;
+    return client
+        .call(instance.address(), ServiceFilter.request(c, instance, timeout), timeout)
+        .handle(
+            (a, e) -> {
+              if (e == null) {
+                instance.finished();
+                return ran(c, attempt, a);
+              }
+              instance.failed();
+              failed.add(instance.name());
+              return Answers.unwrap(e) instanceof NotSentException
+                  ? send(c, attempt, failed)
+                  : outcomeUnknown(attempt);
+            })
+        .thenCompose(f -> f);
+  }
+
+  private CompletionStage<HttpResponse> ran(RequestContext c, long attempt, ServiceAnswer a) {
+    String kept =
+        a.body().length <= MAX_KEPT_BYTES ? Base64.getEncoder().encodeToString(a.body()) : null;
+    return bookings
+        .finish(attempt, BookingService.Outcome.ran(a, kept))
+        .completeOnTimeout(null, OUTCOME_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+        .thenApply(v -> ServiceFilter.answer(c, a));
+  }
+
+  /** The record says that no earlier attempt ran, so the refusal is certain for every id. */
+  private CompletionStage<HttpResponse> notSent(RequestContext c, long attempt) {
+    bookings.finish(attempt, BookingService.Outcome.without(BookingOutcome.NOT_RUN));
+    return fail(ServiceFilter.noInstance(c));
+  }
+
+  private CompletionStage<HttpResponse> outcomeUnknown(long attempt) {
+    return bookings
+        .finish(attempt, BookingService.Outcome.without(BookingOutcome.UNKNOWN))
+        .completeOnTimeout(null, OUTCOME_WAIT_MILLIS, TimeUnit.MILLISECONDS)
+        .thenCompose(v -> fail(unknown()));
+  }
+
+  private static RequestFailure unknown() {
+    return new RequestFailure(
+        ErrorKind.OUTCOME_UNKNOWN,
+        "The booking was sent, and its outcome is not known. It is never sent again.");
+  }
+
+  private static RequestFailure undecided(String reason) {
+    return new RequestFailure(
+        ErrorKind.BOOKING_UNDECIDED,
+        reason + ". This attempt was not run; an earlier one under the same id may have been.");
+  }
+}
