--- a/core/src/main/java/org/goldcrestfall/core/budget/DemandMeter.java
+++ b/core/src/main/java/org/goldcrestfall/core/budget/DemandMeter.java
@@ -1,15 +1,16 @@
 package org.goldcrestfall.core.budget;
 
 /**
- * The recent demand of one workspace on this router: an exponentially decaying average of the rate
- * and a decaying maximum of single requests.
+ * The recent demand of one workspace on this router: exponentially decaying averages of the rates
+ * of reservation and of actual use, and a decaying maximum of single reservations.
  */
 final class DemandMeter {
 
   /** Decay time of the average: long enough to smooth single requests, short against minutes. */
   static final double DECAY_MILLIS = 30_000;
 
-  private double sum;
+  private double reserved;
+  private double used;
   private double largest;
   private long updatedMillis;
 
@@ -17,16 +18,27 @@
     updatedMillis = nowMillis;
   }
 
-  void add(long tokens, long nowMillis) {
+  void reserve(long tokens, long nowMillis) {
     decay(nowMillis);
-    sum += tokens;
+    reserved += tokens;
     largest = Math.max(largest, tokens);
   }
 
-  /** Returns the rate in tokens a millisecond. */
-  double rate(long nowMillis) {
+  void use(long tokens, long nowMillis) {
     decay(nowMillis);
-    return sum / DECAY_MILLIS;
+    used += tokens;
+  }
+
+  /** Returns the rate of reservation in tokens a millisecond. */
+  double reservationRate(long nowMillis) {
+    decay(nowMillis);
+    return reserved / DECAY_MILLIS;
+  }
+
+  /** Returns the rate of use in tokens a millisecond. */
+  double useRate(long nowMillis) {
+    decay(nowMillis);
+    return used / DECAY_MILLIS;
   }
 
   long largest(long nowMillis) {
@@ -38,7 +50,8 @@
     long elapsed = nowMillis - updatedMillis;
     if (elapsed > 0) {
       double factor = Math.exp(-elapsed / DECAY_MILLIS);
-      sum *= factor;
+      reserved *= factor;
+      used *= factor;
       largest *= factor;
       updatedMillis = nowMillis;
     }
--- a/core/src/main/java/org/goldcrestfall/core/budget/GrantPolicy.java
+++ b/core/src/main/java/org/goldcrestfall/core/budget/GrantPolicy.java
@@ -12,13 +12,19 @@
  */
 public final class GrantPolicy {
 
-  /** Demand that a router holds for a {@link Tradeoff#STRICT} workspace. */
+  /** Use that a router holds for a {@link Tradeoff#STRICT} workspace. */
   public static final long STRICT_HORIZON_MILLIS = 10_000;
 
-  /** Demand that a router holds for an {@link Tradeoff#AVAILABLE} workspace. */
+  /** Use that a router holds for an {@link Tradeoff#AVAILABLE} workspace. */
   public static final long AVAILABLE_HORIZON_MILLIS = 600_000;
 
-  /** Demand that a router keeps while the group recalls tokens or a peer asks for some. */
+  /**
+   * Reservations that a router holds beyond its use: a worst case is several times the actual use
+   * and is held for the seconds that a request takes.
+   */
+  public static final long RESERVATION_HORIZON_MILLIS = 10_000;
+
+  /** Reservations that a router keeps while the group recalls tokens or a peer asks for some. */
   public static final long RECALLED_HORIZON_MILLIS = 1_000;
 
   private final Map<String, DemandMeter> meters = new HashMap<>();
@@ -28,21 +34,29 @@
 
   /** Takes note of a request that wants to reserve tokens. */
   public void demand(String workspace, long tokens, long nowMillis) {
-    meters.computeIfAbsent(workspace, w -> new DemandMeter(nowMillis)).add(tokens, nowMillis);
+    meter(workspace, nowMillis).reserve(tokens, nowMillis);
+  }
+
+  /** Takes note of the actual use of a request that has ended. */
+  public void used(String workspace, long tokens, long nowMillis) {
+    meter(workspace, nowMillis).use(tokens, nowMillis);
+  }
+
+  private DemandMeter meter(String workspace, long nowMillis) {
+    return meters.computeIfAbsent(workspace, w -> new DemandMeter(nowMillis));
   }
 
   /** Returns the tokens that the router should hold. */
   public long target(String workspace, Tradeoff tradeoff, long nowMillis) {
     long horizon = tradeoff == Tradeoff.STRICT ? STRICT_HORIZON_MILLIS : AVAILABLE_HORIZON_MILLIS;
-    return holding(workspace, horizon, nowMillis);
+    DemandMeter m = meter(workspace, nowMillis);
+    return (long) Math.ceil(m.useRate(nowMillis) * horizon)
+        + reserve(workspace, RESERVATION_HORIZON_MILLIS, nowMillis);
   }
 
-  private long holding(String workspace, long horizonMillis, long nowMillis) {
-    DemandMeter m = meters.get(workspace);
-    if (m == null) {
-      return 0;
-    }
-    double tokens = m.rate(nowMillis) * horizonMillis;
+  private long reserve(String workspace, long horizonMillis, long nowMillis) {
+    DemandMeter m = meter(workspace, nowMillis);
+    double tokens = m.reservationRate(nowMillis) * horizonMillis;
     return Math.max(m.largest(nowMillis), (long) Math.ceil(tokens));
   }
 
@@ -68,14 +82,14 @@
       String workspace, Tradeoff tradeoff, long available, boolean recalled, long nowMillis) {
     long keep =
         recalled
-            ? holding(workspace, RECALLED_HORIZON_MILLIS, nowMillis)
+            ? reserve(workspace, RECALLED_HORIZON_MILLIS, nowMillis)
             : 2 * target(workspace, tradeoff, nowMillis);
     return Math.max(0, available - keep);
   }
 
   /** Returns the tokens to transfer to a peer that asks for {@code asked}. */
   public long gift(String workspace, long available, long asked, long nowMillis) {
-    long spare = available - holding(workspace, RECALLED_HORIZON_MILLIS, nowMillis);
+    long spare = available - reserve(workspace, RECALLED_HORIZON_MILLIS, nowMillis);
     return Math.max(0, Math.min(asked, spare));
   }
 }
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/bench/BudgetBench.java
@@ -0,0 +1,73 @@
+package org.goldcrestfall.daemon.bench;
+
+import java.util.Arrays;
+import java.util.function.Function;
+import org.goldcrestfall.core.budget.AllotmentLedger;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.control.Tradeoff;
+
+/**
+ * Compares ways to share prepaid budgets between routers on a generated trace, and measures the
+ * reservations a second of one router. Usage: {@code BudgetBench [SEED]}.
+ */
+public final class BudgetBench {
+
+  private static final long SEED = 20261204;
+  private static final int RESERVATIONS = 5_000_000;
+  private static final int ROUNDS = 5;
+
+  private BudgetBench() {}
+
+  /** Runs the benchmark. */
+  public static void main(String[] args) {
+    long seed = args.length > 0 ? Long.parseLong(args[0]) : SEED;
+    BudgetTrace trace = BudgetTrace.generate(seed);
+    System.out.printf(
+        "seed %d, trace %s, %d requests, %d routers, %d workspaces%n",
+        seed,
+        trace.digest().substring(0, 16),
+        trace.requests().size(),
+        BudgetTrace.ROUTERS,
+        BudgetTrace.WORKSPACES);
+    replay("static split", trace, l -> new StaticSplit());
+    replay("expiring allotments", trace, ExpiringAllotments::new);
+    replay("escrow, STRICT", trace, l -> new EscrowPolicy(l, Tradeoff.STRICT));
+    replay("escrow, AVAILABLE", trace, l -> new EscrowPolicy(l, Tradeoff.AVAILABLE));
+    reservations();
+  }
+
+  private static void replay(
+      String name, BudgetTrace trace, Function<EventLoop, BudgetPolicy> policy) {
+    TraceReplay.Result r = new TraceReplay(trace, policy).run();
+    System.out.printf(
+        "%s: overspent %d tokens, false refusals %d of %d (%.3f%%), %d of them at cut-off routers%n",
+        name,
+        r.overspentTokens(),
+        r.falseRefusals(),
+        r.oracleServed(),
+        r.falseRefusalPercent(),
+        r.onCutRouters());
+    System.out.println("  by workspace " + Arrays.toString(r.byWorkspace()));
+    System.out.println("  tokens left " + Arrays.toString(r.unspent()));
+    System.out.println("  by minute " + Arrays.toString(r.byMinute()));
+    System.out.print(r.notes());
+  }
+
+  private static void reservations() {
+    for (int round = 0; round < ROUNDS; round++) {
+      AllotmentLedger ledger = new AllotmentLedger(new Incarnation("a1", 1));
+      ledger.requestGrant("w0", Long.MAX_VALUE / 4, 0);
+      ledger.grantReceived("w0", 1, Long.MAX_VALUE / 4);
+      final long start = System.nanoTime();
+      for (int i = 0; i < RESERVATIONS; i++) {
+        ledger.reserve("w0", 2_000);
+        ledger.settle("w0", 2_000, 700);
+        ledger.charged("w0", 700);
+      }
+      double seconds = (System.nanoTime() - start) / 1e9;
+      System.out.printf(
+          "round %d: %.1f million reservations a second, each settled and charged%n",
+          round + 1, RESERVATIONS / seconds / 1e6);
+    }
+  }
+}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
@@ -107,6 +107,7 @@
   @Override
   public synchronized void settle(ReservedTokens r, BillingRecord record) {
     ledger.settle(r.workspace(), r.tokens(), record.tokens());
+    policy.used(r.workspace(), record.tokens(), clock.nowMillis());
     settlements.add(record, clock.nowMillis());
   }
 
