--- a/core/src/main/java/org/goldcrestfall/core/budget/AllotmentLedger.java
+++ b/core/src/main/java/org/goldcrestfall/core/budget/AllotmentLedger.java
@@ -23,6 +23,7 @@
   private final Incarnation self;
   private final UseLimit limit;
   private final Map<String, Entry> entries = new HashMap<>();
+  private long sharePerMille = 1000;
 
   /** Creates the empty ledger of a router without a disk. */
   public AllotmentLedger(Incarnation self) {
@@ -40,6 +41,15 @@
     return self;
   }
 
+  /**
+   * Sets the share of each budget that this router may hold, in thousandths of an equal part for
+   * each router; see {@link GrantPolicy#setReserveShare}.
+   */
+  public void setSharePerMille(long perMille) {
+    checkArgument(perMille > 0, "perMille must be positive: %s", perMille);
+    sharePerMille = perMille;
+  }
+
   /** Returns the workspaces with an entry. */
   public Set<String> workspaces() {
     return new TreeSet<>(entries.keySet());
@@ -127,7 +137,7 @@
     Entry e = entry(workspace);
     if (e.pending == null) {
       e.grantNumber++;
-      e.pending = new GrantAllotment(self, workspace, e.grantNumber, tokens, needed);
+      e.pending = new GrantAllotment(self, workspace, e.grantNumber, tokens, needed, sharePerMille);
     }
     return e.pending;
   }
--- a/core/src/main/java/org/goldcrestfall/core/budget/BlockWatermark.java
+++ b/core/src/main/java/org/goldcrestfall/core/budget/BlockWatermark.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.function.ToLongFunction;
 
 /**
  * The highest use of each workspace that is durable on the router's disk. It is raised in blocks
@@ -13,13 +14,21 @@
  */
 public final class BlockWatermark implements UseLimit {
 
-  private final long blockTokens;
+  private final ToLongFunction<String> blockTokens;
   private final TreeMap<String, Long> durable = new TreeMap<>();
   private final TreeMap<String, Long> wanted = new TreeMap<>();
 
   /** Creates an empty watermark that is raised by {@code blockTokens} at a time. */
   public BlockWatermark(long blockTokens) {
+    this(workspace -> blockTokens);
     checkArgument(blockTokens > 0, "blockTokens must be positive: %s", blockTokens);
+  }
+
+  /**
+   * Creates an empty watermark with a block size for each workspace. About one block is stranded
+   * when the router dies, so a block should be a few seconds of demand.
+   */
+  public BlockWatermark(ToLongFunction<String> blockTokens) {
     this.blockTokens = blockTokens;
   }
 
@@ -30,8 +39,9 @@
   @Override
   public boolean allows(String workspace, long total) {
     long mark = durable.getOrDefault(workspace, 0L);
-    if (total + blockTokens / 2 > mark) {
-      wanted.merge(workspace, total + blockTokens, Math::max);
+    long block = Math.max(1, blockTokens.applyAsLong(workspace));
+    if (total + block / 2 > mark) {
+      wanted.merge(workspace, total + block, Math::max);
     }
     return total <= mark;
   }
--- a/core/src/main/java/org/goldcrestfall/core/budget/GrantPolicy.java
+++ b/core/src/main/java/org/goldcrestfall/core/budget/GrantPolicy.java
@@ -1,5 +1,7 @@
 package org.goldcrestfall.core.budget;
 
+import static com.google.common.base.Preconditions.checkArgument;
+
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
@@ -15,8 +17,14 @@
   /** Use that a router holds for a {@link Tradeoff#STRICT} workspace. */
   public static final long STRICT_HORIZON_MILLIS = 10_000;
 
-  /** Use that a router holds for an {@link Tradeoff#AVAILABLE} workspace. */
-  public static final long AVAILABLE_HORIZON_MILLIS = 600_000;
+  /** Use that is held for an {@link Tradeoff#AVAILABLE} workspace, to outlast a partition. */
+  public static final long AVAILABLE_HORIZON_MILLIS = 900_000;
+
+  /**
+   * Use that a router without a disk holds for an {@link Tradeoff#AVAILABLE} workspace while other
+   * routers hold the reserve. When it dies, no more than this is stranded.
+   */
+  public static final long UNPROVED_HORIZON_MILLIS = 30_000;
 
   /**
    * Reservations that a router holds beyond its use: a worst case is several times the actual use
@@ -28,10 +36,22 @@
   public static final long RECALLED_HORIZON_MILLIS = 1_000;
 
   private final Map<String, DemandMeter> meters = new HashMap<>();
+  private double reserveShare = 1;
 
   /** Tokens to ask for, of which a waiting request needs {@code needed}. */
   public record Ask(long tokens, long needed) {}
 
+  /**
+   * Sets for how many routers this one holds the reserve that outlasts a partition. A router with a
+   * disk holds it for the routers of its zone, divided by those with a disk; a router without a
+   * disk then holds it for 0, because its death would strand it. Where no router of the zone has a
+   * disk, each holds its own, which is the initial 1.
+   */
+  public void setReserveShare(double routers) {
+    checkArgument(routers >= 0, "routers must not be negative: %s", routers);
+    reserveShare = routers;
+  }
+
   /** Takes note of a request that wants to reserve tokens. */
   public void demand(String workspace, long tokens, long nowMillis) {
     meter(workspace, nowMillis).reserve(tokens, nowMillis);
@@ -48,9 +68,11 @@
 
   /** Returns the tokens that the router should hold. */
   public long target(String workspace, Tradeoff tradeoff, long nowMillis) {
-    long horizon = tradeoff == Tradeoff.STRICT ? STRICT_HORIZON_MILLIS : AVAILABLE_HORIZON_MILLIS;
-    DemandMeter m = meter(workspace, nowMillis);
-    return (long) Math.ceil(m.useRate(nowMillis) * horizon)
+    double horizon = STRICT_HORIZON_MILLIS;
+    if (tradeoff == Tradeoff.AVAILABLE) {
+      horizon = Math.max(UNPROVED_HORIZON_MILLIS, reserveShare * AVAILABLE_HORIZON_MILLIS);
+    }
+    return (long) Math.ceil(meter(workspace, nowMillis).useRate(nowMillis) * horizon)
         + reserve(workspace, RESERVATION_HORIZON_MILLIS, nowMillis);
   }
 
@@ -61,13 +83,13 @@
   }
 
   /**
-   * Returns what to ask the control group for, if anything: when less than half of the target is
-   * available, or when a request waits for {@code needed} tokens more than available.
+   * Returns what to ask the control group for, if anything: when less than nine tenths of the
+   * target are available, or when a request waits for {@code needed} tokens more than available.
    */
   public Optional<Ask> ask(
       String workspace, Tradeoff tradeoff, long available, long needed, long nowMillis) {
     long target = target(workspace, tradeoff, nowMillis);
-    if (needed <= 0 && available >= target / 2) {
+    if (needed <= 0 && available >= target / 10 * 9) {
       return Optional.empty();
     }
     long tokens = Math.max(target - available, Math.max(0, needed));
@@ -87,6 +109,20 @@
     return Math.max(0, available - keep);
   }
 
+  /**
+   * Returns the tokens to ask a peer for when a request waits for {@code needed} tokens: enough for
+   * the next half minute too, so that not every request has to wait for a transfer.
+   */
+  public long askPeer(String workspace, long needed, long nowMillis) {
+    double use = meter(workspace, nowMillis).useRate(nowMillis) * UNPROVED_HORIZON_MILLIS;
+    return needed + (long) use + reserve(workspace, RESERVATION_HORIZON_MILLIS, nowMillis);
+  }
+
+  /** Returns the block by which a router with a disk raises its watermark. */
+  public long block(String workspace, long nowMillis) {
+    return reserve(workspace, RECALLED_HORIZON_MILLIS, nowMillis);
+  }
+
   /** Returns the tokens to transfer to a peer that asks for {@code asked}. */
   public long gift(String workspace, long available, long asked, long nowMillis) {
     long spare = available - reserve(workspace, RECALLED_HORIZON_MILLIS, nowMillis);
--- a/core/src/main/java/org/goldcrestfall/core/control/BudgetBook.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/BudgetBook.java
@@ -52,12 +52,15 @@
     if (c.number() == a.lastGrantNumber) {
       return new ControlReply.Granted(c.number(), a.lastGrantTokens, b.unallotted);
     }
-    if (c.number() < a.lastGrantNumber || c.needed() > c.tokens() || c.needed() < 0) {
+    if (c.number() < a.lastGrantNumber
+        || c.needed() > c.tokens()
+        || c.needed() < 0
+        || c.sharePerMille() < 0) {
       return new Refused(
           INVALID_PARAMETER,
           "the grant number must be above " + a.lastGrantNumber + " and needed within tokens");
     }
-    long share = b.unallotted / Math.max(1, hosts.openCount());
+    long share = fairShare(b, c.sharePerMille()) - a.balance();
     long limit = Math.max(c.needed(), Math.min(c.tokens(), share));
     final long tokens = Math.min(b.unallotted, limit);
     b.change(
@@ -71,6 +74,15 @@
     return new ControlReply.Granted(c.number(), tokens, b.unallotted);
   }
 
+  /** Returns the part of what is left of a budget that one router may hold. */
+  private long fairShare(Budget b, long sharePerMille) {
+    long perMille = sharePerMille == 0 ? 1000 : Math.min(sharePerMille, 1000L * hosts.openCount());
+    long left = b.paidIn - b.settled;
+    // Dividing first keeps the product of a large budget within a long.
+    long weighted = left < 1_000_000_000 ? left * perMille / 1000 : left / 1000 * perMille;
+    return weighted / Math.max(1, hosts.openCount());
+  }
+
   ControlReply giveBack(ControlCommand.ReturnAllotment c) {
     Budget b = budgets.get(c.workspace());
     Refused refused = check(c.router(), b, c.workspace(), c.returnedTotal());
--- a/core/src/main/java/org/goldcrestfall/core/control/ControlCommand.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/ControlCommand.java
@@ -72,10 +72,17 @@
 
   /**
    * Grants up to {@code tokens} to a router; a number is granted once per router and workspace. The
-   * grant is limited to the router's share of the unallotted rest, but not below {@code needed},
-   * the tokens that a request waits for.
+   * router's allotment is limited to its fair share of what is left of the budget, {@code
+   * sharePerMille} thousandths of an equal part for each router (0 stands for one part), but the
+   * grant is not limited below {@code needed}, the tokens that a request waits for.
    */
-  record GrantAllotment(Incarnation router, String workspace, long number, long tokens, long needed)
+  record GrantAllotment(
+      Incarnation router,
+      String workspace,
+      long number,
+      long tokens,
+      long needed,
+      long sharePerMille)
       implements ControlCommand {
 
     /** Checks that no field is missing. */
--- a/core/src/test/java/org/goldcrestfall/core/control/ControlStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/control/ControlStateTest.java
@@ -87,18 +87,18 @@
   void grantNumberIsGrantedOnceAndOnlyFromTheUnallottedRest() {
     group.workspace("hulls", 100);
     Incarnation router = group.register("a1", "n1");
-    ControlReply first = group.apply(new GrantAllotment(router, "hulls", 1, 60, 60));
+    ControlReply first = group.apply(new GrantAllotment(router, "hulls", 1, 60, 60, 0));
     assertThat(first).isEqualTo(new ControlReply.Granted(1, 60, 40));
     group.restart();
-    assertThat(group.apply(new GrantAllotment(router, "hulls", 1, 60, 60))).isEqualTo(first);
-    assertThat(group.apply(new GrantAllotment(router, "hulls", 2, 60, 60)))
+    assertThat(group.apply(new GrantAllotment(router, "hulls", 1, 60, 60, 0))).isEqualTo(first);
+    assertThat(group.apply(new GrantAllotment(router, "hulls", 2, 60, 60, 0)))
         .isEqualTo(new ControlReply.Granted(2, 40, 0));
     assertThat(group.state().query(new ControlQuery.Recalls()))
         .isEqualTo(List.of(new Recall("hulls", 0, 20)));
     assertThat(group.register("a1", "n1")).isEqualTo(router);
     group.register("a1", "n2");
     assertThat(group.budget("hulls").stranded()).isEqualTo(100);
-    assertRefused(group.apply(new GrantAllotment(router, "hulls", 3, 1, 1)), ErrorKind.DRAINING);
+    assertRefused(group.apply(new GrantAllotment(router, "hulls", 3, 1, 1, 0)), ErrorKind.DRAINING);
     group.apply(new ControlCommand.CloseIncarnation(router, Map.of("hulls", 30L), 0));
     assertThat(group.budget("hulls").stranded()).isEqualTo(30);
     assertThat(group.budget("hulls").unallotted()).isEqualTo(70);
@@ -109,8 +109,8 @@
     group.workspace("hulls", 100);
     Incarnation a = group.register("a1", "n");
     Incarnation b = group.register("b1", "n");
-    group.apply(new GrantAllotment(a, "hulls", 1, 50, 50));
-    group.apply(new GrantAllotment(b, "hulls", 1, 50, 50));
+    group.apply(new GrantAllotment(a, "hulls", 1, 50, 50, 0));
+    group.apply(new GrantAllotment(b, "hulls", 1, 50, 50, 0));
     BillingRecord record = record("r1", 20);
     SettleRequests batch = new SettleRequests(a, 1, List.of(record));
     assertThat(group.apply(batch)).isEqualTo(new ControlReply.Settled(1, List.of(true)));
@@ -131,7 +131,7 @@
   void lateStartOfAnAttemptThatDidNotRunDoesNotStartTheBookingAgain() {
     group.workspace("hulls", 100);
     Incarnation a = group.register("a1", "n");
-    group.apply(new GrantAllotment(a, "hulls", 1, 50, 50));
+    group.apply(new GrantAllotment(a, "hulls", 1, 50, 50, 0));
     StartBooking start = new StartBooking(a, 1, "hulls", "b1", "h", "cedar", 10, 0);
     assertThat(((Booked) group.apply(start)).startedNow()).isTrue();
     assertThat(((Booked) group.apply(start)).startedNow()).isTrue();
@@ -159,7 +159,7 @@
     group.workspace("hulls", 100);
     Incarnation dead = group.register("a1", "n");
     final Incarnation live = group.register("b1", "n");
-    group.apply(new GrantAllotment(dead, "hulls", 1, 60, 60));
+    group.apply(new GrantAllotment(dead, "hulls", 1, 60, 60, 0));
     group.apply(new ControlCommand.CloseIncarnation(dead, Map.of(), 0));
     group.confirm(new Intent.ReleaseStranded("hulls", dead));
     assertThat(group.budget("hulls").unallotted()).isEqualTo(40);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/BudgetBench.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/bench/BudgetBench.java
@@ -40,7 +40,7 @@
       String name, BudgetTrace trace, Function<EventLoop, BudgetPolicy> policy) {
     TraceReplay.Result r = new TraceReplay(trace, policy).run();
     System.out.printf(
-        "%s: overspent %d tokens, false refusals %d of %d (%.3f%%), %d of them at cut-off routers%n",
+        "%s: overspent %d tokens, false refusals %d of %d (%.3f%%), %d at cut-off routers%n",
         name,
         r.overspentTokens(),
         r.falseRefusals(),
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/EscrowPolicy.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/bench/EscrowPolicy.java
@@ -101,6 +101,17 @@
     return cut[from.number()] ? null : (List<?>) state.query(new ControlQuery.Recalls());
   }
 
+  /** Returns for how many routers a router holds the reserve of its zone; zones are modulo 3. */
+  double reserveShare(int router) {
+    int inZone = 0;
+    int withDisk = 0;
+    for (int i = router % 3; i < BudgetTrace.ROUTERS; i += 3) {
+      inZone++;
+      withDisk += i < BudgetTrace.ROUTERS_WITH_DISK ? 1 : 0;
+    }
+    return router < BudgetTrace.ROUTERS_WITH_DISK ? (double) inZone / withDisk : 0;
+  }
+
   /** Returns the live routers on the same side, without the asking one. */
   List<EscrowRouter> peers(EscrowRouter from) {
     List<EscrowRouter> result = new ArrayList<>();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/EscrowRouter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/bench/EscrowRouter.java
@@ -29,7 +29,6 @@
   private static final long RESEND_MILLIS = 1_000;
   private static final long PEER_MILLIS = 1;
   private static final long WAIT_MILLIS = 1_000;
-  private static final long WATERMARK_BLOCK_TOKENS = 50_000;
 
   private final int number;
   private final Tradeoff tradeoff;
@@ -60,10 +59,12 @@
     this.loop = loop;
     this.net = net;
     this.disk = disk;
-    watermark = disk == null ? null : new BlockWatermark(WATERMARK_BLOCK_TOKENS);
+    watermark = disk == null ? null : new BlockWatermark(w -> policy.block(w, loop.now()));
     ledger = new AllotmentLedger(self, disk == null ? UseLimit.NONE : watermark);
     queue = new SettlementQueue(ledger);
     transfers = new TransferLedger(ledger);
+    policy.setReserveShare(net.reserveShare(number));
+    ledger.setSharePerMille((long) (1000 * Math.max(1, net.reserveShare(number))));
     for (int w = 0; w < BudgetTrace.WORKSPACES; w++) {
       waiting.put(BudgetTrace.workspace(w), new ArrayDeque<>());
     }
@@ -137,7 +138,7 @@
     boolean pending = ledger.hasPendingGrant(w);
     if (pending && loop.now() - askedMillis.getOrDefault(w, 0L) < RESEND_MILLIS) {
       if (needed > 0 && net.isCut(this)) {
-        askPeers(w, needed);
+        askPeers(w);
       }
       return;
     }
@@ -149,15 +150,15 @@
               net.send(this, ledger.requestGrant(w, a.tokens(), a.needed()));
             });
     if (needed > 0 && net.isCut(this)) {
-      askPeers(w, needed);
+      askPeers(w);
     }
   }
 
-  private void askPeers(String w, long needed) {
+  private void askPeers(String w) {
     loop.after(
         2 * PEER_MILLIS,
         () -> {
-          long missing = dead ? 0 : needed(w);
+          long missing = dead || needed(w) == 0 ? 0 : policy.askPeer(w, needed(w), loop.now());
           for (EscrowRouter peer : net.peers(this)) {
             if (missing > 0) {
               missing -= peer.giveTo(this, w, missing);
