--- a/core/src/main/java/org/goldcrestfall/core/control/Account.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/Account.java
@@ -50,7 +50,7 @@
       return;
     }
     long used = Math.max(highestUsed, charged + transferredOut);
-    freed = Math.max(0, granted + transferredIn - returned - released - used);
+    freed = Math.max(0, granted + transferredIn - returned - used);
   }
 
   AllotmentAccount view() {
--- a/core/src/test/java/org/goldcrestfall/core/control/ControlStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/control/ControlStateTest.java
@@ -150,6 +150,25 @@
     assertThat(group.budget("hulls").settled()).isEqualTo(10);
   }
 
+  @Example
+  void lateCopyOfRefusedStartIsNotChargedBehindTheRoutersBack() {
+    group.workspace("hulls", 100);
+    Incarnation a = group.register("a1", "n");
+    final Incarnation b = group.register("b1", "n");
+    StartBooking start = new StartBooking(a, 1, "hulls", "b1", "h", "cedar", 10, 0);
+    assertRefused(group.apply(start), ErrorKind.BUDGET_EXHAUSTED);
+    group.apply(new GrantAllotment(a, "hulls", 1, 50, 50, 0));
+    group.apply(new GrantAllotment(b, "hulls", 1, 50, 50, 0));
+    group.restart();
+    assertRefused(group.apply(start), ErrorKind.BUDGET_EXHAUSTED);
+    group.apply(new StartBooking(b, 1, "hulls", "b1", "h", "cedar", 10, 0));
+    StartBooking second = new StartBooking(a, 2, "hulls", "b1", "h", "cedar", 10, 0);
+    assertThat(((Booked) group.apply(second)).startedNow()).isFalse();
+    group.apply(finish(b, 1, BookingOutcome.NOT_RUN));
+    assertThat(((Booked) group.apply(second)).startedNow()).isFalse();
+    assertThat(group.budget("hulls").settled()).isZero();
+  }
+
   private static FinishBooking finish(Incarnation router, long attempt, BookingOutcome outcome) {
     return new FinishBooking(router, attempt, "hulls", "b1", outcome, 200, null, null, 0);
   }
