Test the peer service over generated faults and bound what a freeze hides

Cause: the promises P6 and P8 need evidence under kills, restarts, freezes, partitions, slow links and late, doubled and crossed messages. Change: PeerService takes its threads and its store through small interfaces, and a fake network on a manual clock drives seven of them. Answers to a configuration request return its id, so a crossed reply is no check. A check counts only for a view that is stored and served. Announcements that a router reads after a freeze count as old as the freeze.

--- a/core/src/main/java/org/goldcrestfall/core/config/ConfigEffect.java
+++ b/core/src/main/java/org/goldcrestfall/core/config/ConfigEffect.java
@@ -6,8 +6,8 @@
 public sealed interface ConfigEffect {
 
   /**
-   * Ask the daemon at {@code address} for what follows {@code revision}; pass the answer or the
-   * failure back under {@code id}.
+   * Ask the daemon at {@code address} for what follows {@code revision}; the answer carries {@code
+   * id}, and a failure is passed back under it.
    */
   record Ask(long id, String address, long revision) implements ConfigEffect {}
 
--- a/core/src/main/java/org/goldcrestfall/core/config/ConfigFollower.java
+++ b/core/src/main/java/org/goldcrestfall/core/config/ConfigFollower.java
@@ -3,6 +3,7 @@
 import static com.google.common.base.Preconditions.checkArgument;
 
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -65,10 +66,11 @@
     this.self = self;
     log = new ConfigLog(persisted);
     random = new JDKRandomBridge(RandomSource.XO_RO_SHI_RO_128_PP, seed);
+    lastId = random.nextLong() >>> 2;
     startedAt = nowMillis;
     nextPoll = nowMillis;
     List<String> order = new ArrayList<>(controlMembers);
-    java.util.Collections.shuffle(order, random);
+    Collections.shuffle(order, random);
     order.forEach(a -> checkedAt.put(a, NEVER));
     checkArgument(checkedAt.size() == controlMembers.size(), "control members must be distinct");
   }
@@ -137,11 +139,14 @@
     return effects;
   }
 
-  /** Handles the answer to a question. */
-  public List<ConfigEffect> answer(long id, ConfigAnswer answer, long now) {
+  /** Handles an answer; one that is late or belongs to another request is no check. */
+  public List<ConfigEffect> answer(ConfigAnswer answer, long now) {
     List<ConfigEffect> effects = new ArrayList<>();
-    boolean complete = apply(answer, effects);
-    Question q = questions.remove(id);
+    final boolean complete = apply(answer, effects);
+    Question q = questions.remove(answer.id());
+    if (q != null && now - q.atMillis() > ASK_TIMEOUT_MILLIS) {
+      q = null;
+    }
     if (q == null) {
       return effects;
     }
@@ -173,11 +178,12 @@
     return effects;
   }
 
-  /** Returns the answer for a daemon that has {@code revision}. */
-  public ConfigAnswer answerFor(long revision, long now) {
+  /** Returns the answer to question {@code id} of a daemon that has {@code revision}. */
+  public ConfigAnswer answerFor(long id, long revision, long now) {
     List<ConfigChange> changes = log.changesAfter(revision);
     boolean whole = changes == null;
     return new ConfigAnswer(
+        id,
         view().revision(),
         whole ? List.of() : changes,
         whole ? view() : null,
--- a/daemon/src/main/java/org/goldcrestfall/daemon/peer/ConfigCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/peer/ConfigCodec.java
@@ -35,14 +35,15 @@
     return JSON.readValue(json, ConfigView.class);
   }
 
-  static Body request(long revision) {
-    var r = ConfigRequest.newBuilder().setRevision(revision);
+  static Body request(long id, long revision) {
+    var r = ConfigRequest.newBuilder().setId(id).setRevision(revision);
     return Body.newBuilder().setConfigRequest(r).build();
   }
 
   static Body reply(ConfigAnswer answer) {
     ConfigReply.Builder r =
         ConfigReply.newBuilder()
+            .setId(answer.id())
             .setRevision(answer.revision())
             .setConfirmed(answer.confirmed())
             .setConfirmedAgeMillis(answer.confirmedAgeMillis());
@@ -61,7 +62,8 @@
       changes.add(JSON.readValue(c.toByteArray(), ConfigChange.class));
     }
     ConfigView view = reply.getView().isEmpty() ? null : readView(reply.getView().toByteArray());
+    long age = Math.min(reply.getConfirmedAgeMillis() & Long.MAX_VALUE, Integer.MAX_VALUE);
     return new ConfigAnswer(
-        reply.getRevision(), changes, view, reply.getConfirmed(), reply.getConfirmedAgeMillis());
+        reply.getId(), reply.getRevision(), changes, view, reply.getConfirmed(), age);
   }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/peer/ConfigFile.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/peer/ConfigFile.java
@@ -21,7 +21,7 @@
  * The configuration on disk: a line with the CRC32C of the rest in hex, then JSON. The file is
  * replaced atomically and synced with its folder, so a crash leaves the old or the new view.
  */
-final class ConfigFile {
+final class ConfigFile implements ConfigStore {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final int CHECKSUM_BYTES = 9;
@@ -34,8 +34,8 @@
     file = folder.resolve("config-view.json");
   }
 
-  /** Returns the stored view; {@link ConfigView#EMPTY} if there is none or it is damaged. */
-  ConfigView load() throws IOException {
+  @Override
+  public ConfigView load() throws IOException {
     Files.createDirectories(folder);
     if (!Files.exists(file)) {
       return ConfigView.EMPTY;
@@ -49,8 +49,8 @@
     return ConfigCodec.readView(json);
   }
 
-  /** Stores a view. */
-  void save(ConfigView view) throws IOException {
+  @Override
+  public void save(ConfigView view) throws IOException {
     byte[] json = ConfigCodec.write(view);
     Path temporary = folder.resolve("config-view.tmp");
     try (FileChannel c = FileChannel.open(temporary, CREATE, WRITE, TRUNCATE_EXISTING)) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/peer/ConfigService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/peer/ConfigService.java
@@ -1,13 +1,10 @@
 package org.goldcrestfall.daemon.peer;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.io.IOException;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.ExecutorService;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
@@ -24,7 +21,7 @@
  * Runs {@link ConfigFollower} over the transport and stores views. A view is stored before it is
  * served; storing has its own thread, so that a slow disk does not delay the answers to probes.
  */
-final class ConfigService implements AutoCloseable {
+final class ConfigService {
 
   private static final long CALL_TIMEOUT_MILLIS = 900;
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -32,11 +29,11 @@
   private final PeerTransport transport;
   private final MillisClock clock;
   private final ConfigSource source;
+  private final PeerThreads threads;
   private final Consumer<Runnable> peerThread;
   private final Consumer<ConfigView> observer;
   private final ConfigFollower follower;
-  private final ConfigFile file;
-  private final ExecutorService storage;
+  private final ConfigStore store;
   private boolean warned;
   private volatile ConfigView served;
   private volatile boolean confirmed;
@@ -47,6 +44,8 @@
       PeerTransport transport,
       MillisClock clock,
       ConfigSource source,
+      ConfigStore store,
+      PeerThreads threads,
       Consumer<Runnable> peerThread,
       Consumer<ConfigView> observer)
       throws IOException {
@@ -55,14 +54,9 @@
     this.source = source;
     this.peerThread = peerThread;
     this.observer = observer;
-    file = options.dataFolder() == null ? null : new ConfigFile(options.dataFolder());
-    served = file == null ? ConfigView.EMPTY : file.load();
-    storage =
-        Executors.newSingleThreadExecutor(
-            new ThreadFactoryBuilder()
-                .setNameFormat("peer-storage-" + options.host())
-                .setDaemon(true)
-                .build());
+    this.store = store;
+    this.threads = threads;
+    served = store == null ? ConfigView.EMPTY : store.load();
     long now = clock.nowMillis();
     checkedAt = now;
     follower =
@@ -75,12 +69,14 @@
         Body.KindCase.CONFIG_REQUEST,
         (sender, body) -> {
           CompletableFuture<Body> reply = new CompletableFuture<>();
-          long revision = body.getConfigRequest().getRevision();
+          var request = body.getConfigRequest();
           peerThread.accept(
               () -> {
                 long now = clock.nowMillis();
                 readSource(now);
-                reply.complete(ConfigCodec.reply(follower.answerFor(revision, now)));
+                reply.complete(
+                    ConfigCodec.reply(
+                        follower.answerFor(request.getId(), request.getRevision(), now)));
               });
           return reply;
         });
@@ -126,7 +122,7 @@
     List<ConfigChange> changes = view.revision() > known ? source.changesAfter(known) : List.of();
     ConfigView whole = changes == null ? view : null;
     List<ConfigChange> some = changes == null ? List.of() : changes;
-    run(follower.local(new ConfigAnswer(view.revision(), some, whole, false, 0), now), now);
+    run(follower.local(new ConfigAnswer(0, view.revision(), some, whole, false, 0), now), now);
   }
 
   private void run(List<ConfigEffect> effects, long now) {
@@ -137,13 +133,20 @@
         store(c.view());
       }
     }
-    confirmed = follower.confirmed();
-    checkedAt = now - follower.checkAgeMillis(now);
+    publishCheck(now);
+  }
+
+  /** A check of a view that is not stored yet does not count for the view that is served. */
+  private void publishCheck(long now) {
+    if (served.revision() >= follower.view().revision()) {
+      confirmed = follower.confirmed();
+      checkedAt = now - follower.checkAgeMillis(now);
+    }
   }
 
   private void ask(ConfigEffect.Ask ask) {
     transport
-        .call(ask.address(), ConfigCodec.request(ask.revision()), CALL_TIMEOUT_MILLIS)
+        .call(ask.address(), ConfigCodec.request(ask.id(), ask.revision()), CALL_TIMEOUT_MILLIS)
         .whenComplete((body, e) -> peerThread.accept(() -> receive(ask, body)));
   }
 
@@ -155,7 +158,7 @@
     }
     try {
       ConfigAnswer answer = ConfigCodec.answer(body.getConfigReply());
-      run(follower.answer(ask.id(), answer, now), now);
+      run(follower.answer(answer, now), now);
     } catch (IOException | IllegalArgumentException e) {
       logger.atWarning().withCause(e).atMostEvery(10, TimeUnit.SECONDS).log(
           "peer: bad configuration from %s", ask.address());
@@ -164,15 +167,15 @@
   }
 
   private void store(ConfigView view) {
-    if (file == null) {
+    if (store == null) {
       serve(view);
       return;
     }
     try {
-      storage.execute(
+      threads.store(
           () -> {
             try {
-              file.save(view);
+              store.save(view);
             } catch (IOException e) {
               logger.atSevere().withCause(e).atMostEvery(10, TimeUnit.SECONDS).log(
                   "peer: configuration %s is served but not stored", view.revision());
@@ -187,6 +190,7 @@
   private void serve(ConfigView view) {
     if (view.revision() > served.revision()) {
       served = view;
+      publishCheck(clock.nowMillis());
       observer.accept(view);
     }
   }
@@ -200,9 +204,4 @@
     }
     warned = old;
   }
-
-  @Override
-  public void close() {
-    storage.shutdown();
-  }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/peer/Dissemination.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/peer/Dissemination.java
@@ -59,9 +59,9 @@
     return usage.rates();
   }
 
-  /** Takes in an announcement that an upstream made to this router. */
-  boolean announce(UpstreamAnnouncement a, long now) {
-    boolean accepted = directory.accept(a, 0, now);
+  /** Takes in an announcement that an upstream made to this router {@code age} ago. */
+  boolean announce(UpstreamAnnouncement a, long age, long now) {
+    boolean accepted = directory.accept(a, age, now);
     if (accepted) {
       unpushed.add(a.name());
       observer.accept(a);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/peer/PeerService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/peer/PeerService.java
@@ -1,7 +1,6 @@
 package org.goldcrestfall.daemon.peer;
 
 import com.google.common.flogger.FluentLogger;
-import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -12,9 +11,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.goldcrestfall.core.common.Incarnation;
@@ -25,6 +22,7 @@
 import org.goldcrestfall.core.membership.Membership;
 import org.goldcrestfall.core.membership.MembershipEffect;
 import org.goldcrestfall.core.membership.MembershipMessage;
+import org.goldcrestfall.core.membership.StallGuard;
 import org.goldcrestfall.core.membership.UpstreamAnnouncement;
 import org.goldcrestfall.core.membership.UpstreamSnapshot;
 import org.goldcrestfall.wire.PeerTransport;
@@ -42,16 +40,16 @@
   private static final long STAMP_INTERVAL_MILLIS = 500;
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  private final PeerOptions options;
   private final PeerTransport transport;
   private final MillisClock clock;
-  private final ScheduledExecutorService executor;
+  private final PeerThreads threads;
   private final Membership membership;
   private final Dissemination dissemination;
   private final ConfigService config;
   private final Map<String, CompletableFuture<Body>> unreplied = new HashMap<>();
   private final Map<String, Long> stampSentAt = new HashMap<>();
   private final List<PeerListener> listeners = new CopyOnWriteArrayList<>();
+  private final StallGuard stall;
   private long announcedRevision;
   private volatile List<Member> members = List.of();
   private volatile UpstreamSnapshot upstreams = UpstreamSnapshot.EMPTY;
@@ -66,13 +64,28 @@
   public PeerService(
       PeerOptions options, PeerTransport transport, MillisClock clock, ConfigSource source)
       throws IOException {
-    this.options = options;
+    this(
+        options,
+        transport,
+        clock,
+        source,
+        options.dataFolder() == null ? null : new ConfigFile(options.dataFolder()),
+        PeerThreads.start(options.host()));
+  }
+
+  PeerService(
+      PeerOptions options,
+      PeerTransport transport,
+      MillisClock clock,
+      ConfigSource source,
+      ConfigStore store,
+      PeerThreads threads)
+      throws IOException {
     this.transport = transport;
     this.clock = clock;
-    executor =
-        Executors.newSingleThreadScheduledExecutor(
-            new ThreadFactoryBuilder().setNameFormat("peer-" + options.host()).build());
+    this.threads = threads;
     long now = clock.nowMillis();
+    stall = new StallGuard(now);
     Member self =
         new Member(options.host(), 0, 0, Status.ALIVE, options.address(), options.zone(), 0);
     membership = new Membership(self, options.seeds(), options.seed(), now);
@@ -82,7 +95,8 @@
             (int) (options.seed() ^ options.seed() >>> 32),
             a -> listeners.forEach(l -> l.upstreamAnnounced(a)));
     config =
-        new ConfigService(options, transport, clock, source, this::execute, this::configChanged);
+        new ConfigService(
+            options, transport, clock, source, store, threads, this::execute, this::configChanged);
     members = membership.members();
   }
 
@@ -93,7 +107,7 @@
       transport.handle(kind, this::receive);
     }
     config.start();
-    executor.scheduleAtFixedRate(guard(this::tick), 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    threads.repeat(guard(this::tick), TICK_MILLIS);
   }
 
   /** Adds a listener. */
@@ -135,14 +149,16 @@
 
   /** Takes in an announcement of an upstream; completes with whether it was newer. */
   public CompletableFuture<Boolean> announce(UpstreamAnnouncement announcement) {
-    return CompletableFuture.supplyAsync(
+    CompletableFuture<Boolean> result = new CompletableFuture<>();
+    execute(
         () -> {
-          boolean accepted = dissemination.announce(announcement, clock.nowMillis());
+          long now = clock.nowMillis();
+          boolean accepted = dissemination.announce(announcement, stall.ageMillis(now), now);
           upstreams = dissemination.upstreams();
           push();
-          return accepted;
-        },
-        executor);
+          result.complete(accepted);
+        });
+    return result;
   }
 
   /** Returns the configuration to serve from. */
@@ -190,13 +206,12 @@
 
   @Override
   public void close() {
-    executor.shutdownNow();
-    config.close();
+    threads.close();
   }
 
   private void execute(Runnable task) {
     try {
-      executor.execute(guard(task));
+      threads.execute(guard(task));
     } catch (RejectedExecutionException e) {
       logger.atFine().log("peer: service is closed");
     }
@@ -216,6 +231,7 @@
 
   private void tick() {
     long now = clock.nowMillis();
+    stall.tick(now);
     run(membership.tick(now), now);
     dissemination.tick(now);
     Set<String> peers = new HashSet<>();
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/peer/FakeFleet.java
@@ -0,0 +1,289 @@
+package org.goldcrestfall.daemon.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.IntStream;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.control.ConfigView;
+import org.goldcrestfall.core.membership.Member;
+import org.goldcrestfall.core.membership.UpstreamAnnouncement;
+import org.goldcrestfall.core.membership.UpstreamAnnouncement.State;
+
+/**
+ * Daemons on a {@link FakeNetwork}, a fake control group and fake upstreams. After every step it
+ * checks that no router gives work to an upstream that left or vanished more than 5 s ago (P6) and
+ * that no router's revision goes back (P8).
+ */
+final class FakeFleet {
+
+  static final int CONTROL_MEMBERS = 3;
+  private static final long CATCH_UP_MILLIS = 500;
+  private static final long LEAVE_LIMIT_MILLIS = 5000;
+
+  final FakeNetwork network;
+  final int size;
+  final FakeNetwork.Process[] processes;
+  final PeerService[] services;
+  final ConfigView[] applied = new ConfigView[CONTROL_MEMBERS];
+  final boolean[] isolated = new boolean[CONTROL_MEMBERS];
+  final List<Upstream> upstreams = new ArrayList<>();
+  private final ConfigView[] stored;
+  private final long[] boots;
+  private final long[] served;
+  private long accepted;
+
+  /** Disks keep nothing if set; for tests that take the mechanism out. */
+  boolean disksAreLost;
+
+  /** An upstream that announces itself every second until it leaves or vanishes. */
+  final class Upstream {
+    private final String name;
+    private final long ttlMillis = 1 + network.random.nextInt(5000);
+    private long sequence;
+    private long nextAnnouncement;
+    private long lastReadyAt = Long.MAX_VALUE;
+    private boolean gone;
+
+    Upstream(String name) {
+      this.name = name;
+    }
+
+    void announce(int router, State state) {
+      var a =
+          new UpstreamAnnouncement(
+              name,
+              1,
+              ++sequence,
+              UpstreamAnnouncement.Kind.ENGINE,
+              "10.0.0.1:80",
+              "z",
+              state,
+              ttlMillis,
+              List.of(),
+              null,
+              false,
+              null,
+              null);
+      if (network.running.containsValue(processes[router])) {
+        services[router].announce(a);
+      }
+    }
+
+    void leave(int router) {
+      vanish();
+      announce(router, State.LEAVING);
+    }
+
+    void vanish() {
+      if (!gone) {
+        gone = true;
+        lastReadyAt = network.clock.nowMillis();
+      }
+    }
+
+    private void step() {
+      long now = network.clock.nowMillis();
+      if (!gone && now >= nextAnnouncement) {
+        nextAnnouncement = now + 1000;
+        announce(network.random.nextInt(size), State.READY);
+      }
+    }
+
+    boolean routedBy(int i) {
+      long now = processes[i].nowMillis();
+      return services[i].upstreams().routable(now).stream()
+          .anyMatch(e -> e.announcement().name().equals(name));
+    }
+  }
+
+  FakeFleet(int size, long seed) {
+    network = new FakeNetwork(seed);
+    this.size = size;
+    processes = new FakeNetwork.Process[size];
+    services = new PeerService[size];
+    stored = new ConfigView[size];
+    boots = new long[size];
+    served = new long[size];
+    Arrays.fill(stored, ConfigView.EMPTY);
+    Arrays.fill(applied, ConfigView.EMPTY);
+    for (int i = 0; i < size; i++) {
+      start(i);
+    }
+  }
+
+  String address(int i) {
+    return "10.0.1." + i + ":9080";
+  }
+
+  boolean up(int i) {
+    return !processes[i].dead() && !processes[i].frozen;
+  }
+
+  void start(int i) {
+    if (processes[i] != null && !processes[i].dead()) {
+      return;
+    }
+    var p = network.new Process("h" + i, address(i));
+    processes[i] = p;
+    List<String> control = IntStream.range(0, CONTROL_MEMBERS).mapToObj(this::address).toList();
+    List<String> seeds = List.of(address(0), address(1));
+    var options =
+        new PeerOptions(
+            p.host, "zone-" + i % 3, p.address, seeds, control, null, network.random.nextLong());
+    ConfigSource source = i < CONTROL_MEMBERS ? () -> applied[i] : null;
+    ConfigStore store =
+        new ConfigStore() {
+          @Override
+          public ConfigView load() {
+            return disksAreLost ? ConfigView.EMPTY : stored[i];
+          }
+
+          @Override
+          public void save(ConfigView view) {
+            stored[i] = view;
+          }
+        };
+    try {
+      services[i] = new PeerService(options, p, p::nowMillis, source, store, p);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    services[i].start();
+    services[i].identify(new Incarnation(p.host, ++boots[i]));
+  }
+
+  void kill(int i) {
+    processes[i].close();
+  }
+
+  void freeze(int i, long millis) {
+    FakeNetwork.Process p = processes[i];
+    p.frozen = true;
+    network.after(
+        millis,
+        () -> {
+          checkUpstreams(i);
+          p.resume();
+        });
+  }
+
+  /** Links between hosts whose bits in {@code side} differ are cut. */
+  void partition(int side) {
+    for (int i = 0; i < size; i++) {
+      for (int j = 0; j < i; j++) {
+        boolean apart = ((side >> i) & 1) != ((side >> j) & 1);
+        network.setCut(address(i), address(j), apart);
+      }
+    }
+  }
+
+  void heal() {
+    network.healLinks();
+    Arrays.fill(isolated, false);
+    for (FakeNetwork.Process p : processes) {
+      if (p.frozen && !p.dead()) {
+        p.resume();
+      }
+    }
+  }
+
+  /** Returns the control members that form a majority with each other, or none. */
+  private List<Integer> quorum() {
+    for (int leader = 0; leader < CONTROL_MEMBERS; leader++) {
+      List<Integer> group = new ArrayList<>();
+      for (int i = 0; i < CONTROL_MEMBERS; i++) {
+        boolean reached = i == leader || network.linked(address(leader), address(i));
+        if (up(i) && up(leader) && !isolated[i] && !isolated[leader] && reached) {
+          group.add(i);
+        }
+      }
+      if (group.size() > CONTROL_MEMBERS / 2) {
+        return group;
+      }
+    }
+    return List.of();
+  }
+
+  /** Accepts a change of the configuration if there is a quorum; returns the accepted revision. */
+  long commit() {
+    List<Integer> quorum = quorum();
+    if (!quorum.isEmpty()) {
+      accepted += 1 + network.random.nextInt(3);
+      quorum.forEach(i -> applied[i] = view(accepted));
+    }
+    return accepted;
+  }
+
+  static ConfigView view(long revision) {
+    return new ConfigView(revision, Map.of(), Map.of(), Map.of(), Map.of());
+  }
+
+  void run(long millis) {
+    for (long t = 0; t < millis; t += FakeNetwork.STEP_MILLIS) {
+      network.step();
+      upstreams.forEach(Upstream::step);
+      if (network.clock.nowMillis() % CATCH_UP_MILLIS == 0) {
+        quorum().forEach(i -> applied[i] = view(accepted));
+      }
+      for (int i = 0; i < size; i++) {
+        checkUpstreams(i);
+        checkRevision(i);
+      }
+    }
+  }
+
+  private void checkUpstreams(int i) {
+    if (processes[i].dead()) {
+      return;
+    }
+    for (Upstream u : upstreams) {
+      if (u.gone && network.clock.nowMillis() - u.lastReadyAt >= LEAVE_LIMIT_MILLIS) {
+        assertThat(u.routedBy(i))
+            .as("router %s gives work to %s, gone since %s", i, u.name, u.lastReadyAt)
+            .isFalse();
+      }
+    }
+  }
+
+  private void checkRevision(int i) {
+    if (up(i)) {
+      long revision = services[i].configView().revision();
+      assertThat(revision).as("revision of router %s", i).isGreaterThanOrEqualTo(served[i]);
+      served[i] = revision;
+    }
+  }
+
+  /** Returns the hosts that router {@code i} holds for live. */
+  Set<String> liveBy(int i) {
+    Set<String> live = new HashSet<>();
+    for (Member m : services[i].members()) {
+      if (m.live()) {
+        live.add(m.host());
+      }
+    }
+    return live;
+  }
+
+  Set<String> running() {
+    Set<String> hosts = new HashSet<>();
+    network.running.values().forEach(p -> hosts.add(p.host));
+    return hosts;
+  }
+
+  void expectAgreement() {
+    for (int i = 0; i < size; i++) {
+      if (up(i)) {
+        assertThat(liveBy(i)).as("live members at %s", i).isEqualTo(running());
+        assertThat(services[i].configView().revision()).as("at %s", i).isEqualTo(accepted);
+      }
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/peer/FakeNetwork.java
@@ -0,0 +1,272 @@
+package org.goldcrestfall.daemon.peer;
+
+import java.net.ConnectException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Queue;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeoutException;
+import java.util.function.Consumer;
+import org.goldcrestfall.core.common.Incarnation;
+import org.goldcrestfall.core.common.ManualClock;
+import org.goldcrestfall.wire.PeerTransport;
+import org.goldcrestfall.wire.generated.Body;
+
+/** Delivers messages between processes on a manual clock, with seeded faults. */
+final class FakeNetwork {
+
+  static final long STEP_MILLIS = 50;
+
+  final ManualClock clock = new ManualClock(1_000_000);
+  final Random random;
+  final Map<String, Process> running = new TreeMap<>();
+  private final PriorityQueue<Event> events =
+      new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::order));
+  private final Map<String, Long> extraDelay = new HashMap<>();
+  private final Map<String, Boolean> cut = new HashMap<>();
+  private long lastOrder;
+
+  /** Of 1,000 messages, how many are late by up to 8 s, doubled, or swapped with another reply. */
+  int latePerMille;
+
+  int doubledPerMille;
+  int crossedPerMille;
+
+  private record Event(long at, long order, Runnable action) {}
+
+  FakeNetwork(long seed) {
+    random = new Random(seed);
+  }
+
+  void after(long millis, Runnable action) {
+    events.add(new Event(clock.nowMillis() + millis, ++lastOrder, action));
+  }
+
+  void setCut(String a, String b, boolean value) {
+    cut.put(a + ">" + b, value);
+    cut.put(b + ">" + a, value);
+  }
+
+  void setDelay(String a, String b, long millis) {
+    extraDelay.put(a + ">" + b, millis);
+    extraDelay.put(b + ">" + a, millis);
+  }
+
+  void healLinks() {
+    cut.clear();
+    extraDelay.clear();
+  }
+
+  boolean linked(String a, String b) {
+    return !cut.getOrDefault(a + ">" + b, false);
+  }
+
+  boolean fast(String a, String b) {
+    return linked(a, b) && extraDelay.getOrDefault(a + ">" + b, 0L) == 0;
+  }
+
+  boolean chance(int perMille) {
+    return random.nextInt(1000) < perMille;
+  }
+
+  /** Advances the clock by one step and runs what is due. */
+  void step() {
+    clock.advance(STEP_MILLIS);
+    while (!events.isEmpty() && events.peek().at() <= clock.nowMillis()) {
+      events.poll().action().run();
+    }
+    for (Process p : List.copyOf(running.values())) {
+      p.tick();
+    }
+  }
+
+  private void deliver(Process from, String to, Consumer<Process> arrival) {
+    if (!linked(from.address, to)) {
+      return;
+    }
+    long delay = 1 + random.nextInt(4) + extraDelay.getOrDefault(from.address + ">" + to, 0L);
+    if (chance(latePerMille)) {
+      delay += random.nextInt(8000);
+    }
+    for (int copies = chance(doubledPerMille) ? 2 : 1; copies > 0; copies--) {
+      after(
+          delay + (copies - 1) * random.nextInt(3000),
+          () -> {
+            Process p = running.get(to);
+            if (p != null) {
+              p.execute(() -> arrival.accept(p));
+            }
+          });
+    }
+  }
+
+  /** One run of a daemon: its transport, its single thread and its clock. */
+  final class Process implements PeerThreads, PeerTransport {
+    final String host;
+    final String address;
+    private final long clockOffset = random.nextInt(1_000_000);
+    private final Map<Body.KindCase, Handler> handlers = new EnumMap<>(Body.KindCase.class);
+    private final Map<Long, CompletableFuture<Body>> calls = new TreeMap<>();
+    private final Queue<Runnable> tasks = new ArrayDeque<>();
+    private Runnable repeated = () -> {};
+    private long repeatMillis = 1;
+    private long nextRepeat;
+    private long lastCall;
+    private boolean busy;
+    private Incarnation incarnation;
+    boolean frozen;
+
+    Process(String host, String address) {
+      this.host = host;
+      this.address = address;
+      incarnation = new Incarnation(host, 0);
+      running.put(address, this);
+    }
+
+    boolean dead() {
+      return running.get(address) != this;
+    }
+
+    long nowMillis() {
+      return clock.nowMillis() + clockOffset;
+    }
+
+    @Override
+    public void execute(Runnable task) {
+      tasks.add(task);
+      drain();
+    }
+
+    void drain() {
+      if (busy || frozen || dead()) {
+        return;
+      }
+      busy = true;
+      for (Runnable t = tasks.poll(); t != null; t = tasks.poll()) {
+        t.run();
+      }
+      busy = false;
+    }
+
+    @Override
+    public void store(Runnable task) {
+      after(
+          random.nextInt(40),
+          () -> {
+            if (!dead()) {
+              task.run();
+            }
+          });
+    }
+
+    @Override
+    public void repeat(Runnable task, long intervalMillis) {
+      repeated = task;
+      repeatMillis = intervalMillis;
+    }
+
+    void tick() {
+      if (!frozen && clock.nowMillis() >= nextRepeat) {
+        nextRepeat = clock.nowMillis() + repeatMillis;
+        execute(repeated);
+      }
+    }
+
+    /** Continues after a freeze; buffered input is read before or after the first tick. */
+    void resume() {
+      frozen = false;
+      if (random.nextBoolean()) {
+        drain();
+      }
+      tick();
+      drain();
+    }
+
+    @Override
+    public void send(String to, Body body) {
+      deliver(this, to, p -> p.receive(incarnation, body));
+    }
+
+    private CompletableFuture<Body> receive(Incarnation sender, Body body) {
+      Handler h = handlers.get(body.getKindCase());
+      return h == null ? new CompletableFuture<>() : h.handle(sender, body);
+    }
+
+    @Override
+    public CompletableFuture<Body> call(String to, Body body, long timeoutMillis) {
+      CompletableFuture<Body> result = new CompletableFuture<>();
+      long id = ++lastCall;
+      calls.put(id, result);
+      if (linked(address, to) && !running.containsKey(to)) {
+        after(2, () -> execute(() -> fail(id, new ConnectException("refused"))));
+        return result;
+      }
+      after(timeoutMillis, () -> execute(() -> fail(id, new TimeoutException())));
+      Incarnation sender = incarnation;
+      deliver(
+          this,
+          to,
+          p ->
+              p.receive(sender, body)
+                  .thenAccept(reply -> p.deliverReply(address, this, id, reply)));
+      return result;
+    }
+
+    private void deliverReply(String to, Process caller, long id, Body reply) {
+      deliver(
+          this,
+          to,
+          p -> {
+            if (p == caller) {
+              CompletableFuture<Body> call = calls(caller).remove(caller.crossed(id));
+              if (call != null) {
+                call.complete(reply);
+              }
+            }
+          });
+    }
+
+    private Map<Long, CompletableFuture<Body>> calls(Process p) {
+      return p.calls;
+    }
+
+    /** Returns the id of the call that gets the reply to {@code id}. */
+    private long crossed(long id) {
+      if (!chance(crossedPerMille) || calls.isEmpty()) {
+        return id;
+      }
+      List<Long> ids = new ArrayList<>(calls.keySet());
+      return ids.get(random.nextInt(ids.size()));
+    }
+
+    private void fail(long id, Exception e) {
+      CompletableFuture<Body> call = calls.remove(id);
+      if (call != null) {
+        call.completeExceptionally(e);
+      }
+    }
+
+    @Override
+    public void handle(Body.KindCase kind, Handler handler) {
+      handlers.put(kind, handler);
+    }
+
+    @Override
+    public void identify(Incarnation i) {
+      incarnation = i;
+    }
+
+    @Override
+    public void close() {
+      running.remove(address, this);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/peer/FleetPropertyTest.java
@@ -0,0 +1,205 @@
+package org.goldcrestfall.daemon.peer;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.goldcrestfall.core.membership.Member;
+
+/** Properties of the peer service over generated faults on a manual clock. */
+class FleetPropertyTest {
+
+  private static final int SIZE = 7;
+  private static final long SETTLE_MILLIS = 45_000;
+
+  enum Kind {
+    KILL,
+    RESTART,
+    FREEZE,
+    PARTITION,
+    HEAL,
+    SLOW_LINK,
+    ISOLATE_CONTROL,
+    COMMIT,
+    LEAVE,
+    VANISH,
+    RUN
+  }
+
+  record Step(Kind kind, int a, int b, int millis) {
+
+    void apply(FakeFleet f) {
+      int i = a % SIZE;
+      switch (kind) {
+        case KILL -> f.kill(i);
+        case RESTART -> {
+          f.kill(i);
+          f.start(i);
+        }
+        case FREEZE -> f.freeze(i, millis);
+        case PARTITION -> f.partition(b);
+        case HEAL -> f.heal();
+        case SLOW_LINK -> f.network.setDelay(f.address(i), f.address(b % SIZE), millis);
+        case ISOLATE_CONTROL -> f.isolated[a % FakeFleet.CONTROL_MEMBERS] = true;
+        case COMMIT -> f.commit();
+        case LEAVE -> f.upstreams.get(b % 2).leave(i);
+        case VANISH -> f.upstreams.get(b % 2).vanish();
+        default -> {}
+      }
+      f.run(millis);
+    }
+  }
+
+  @Provide
+  Arbitrary<List<Step>> steps() {
+    return Combinators.combine(
+            Arbitraries.of(Kind.class),
+            Arbitraries.integers().between(0, 126),
+            Arbitraries.integers().between(1, 126),
+            Arbitraries.integers().between(100, 9000))
+        .as(Step::new)
+        .list()
+        .ofMinSize(1)
+        .ofMaxSize(14);
+  }
+
+  private static FakeFleet fleet(long seed) {
+    FakeFleet f = new FakeFleet(SIZE, seed);
+    f.upstreams.add(f.new Upstream("u0"));
+    f.upstreams.add(f.new Upstream("u1"));
+    return f;
+  }
+
+  // Guards P6 and P8 during faults, and members or revisions that do not converge after them.
+  @Property(tries = 150, seed = "11")
+  void everyoneAgreesAfterTheFaultsHaveHealed(
+      @ForAll("steps") List<Step> steps, @ForAll long seed) {
+    FakeFleet f = fleet(seed);
+    f.network.latePerMille = 20;
+    f.network.doubledPerMille = 20;
+    f.network.crossedPerMille = 20;
+    f.run(3000);
+    steps.forEach(s -> s.apply(f));
+    f.network.latePerMille = 0;
+    f.network.doubledPerMille = 0;
+    f.network.crossedPerMille = 0;
+    f.heal();
+    f.commit();
+    f.run(SETTLE_MILLIS);
+    f.expectAgreement();
+  }
+
+  // Guards against a failure detector that takes a slow link for a dead member.
+  @Property(tries = 40, seed = "12")
+  void oneSlowLinkRaisesNoSuspicion(
+      @ForAll long seed, @ForAll("hosts") int a, @ForAll("hosts") int b) {
+    FakeFleet f = new FakeFleet(SIZE, seed);
+    f.run(15_000);
+    for (PeerService s : f.services) {
+      s.addListener(
+          new PeerListener() {
+            @Override
+            public void memberChanged(Member m) {
+              assertThat(m.status()).isEqualTo(Member.Status.ALIVE);
+            }
+          });
+    }
+    f.network.setDelay(f.address(a), f.address(b), 3000);
+    f.run(40_000);
+    f.expectAgreement();
+  }
+
+  @Provide
+  Arbitrary<Integer> hosts() {
+    return Arbitraries.integers().between(0, SIZE - 1);
+  }
+
+  // Guards against a live member that stays dead for others while one member reaches it.
+  @Property(tries = 40, seed = "13")
+  void memberWithOneLinkIsNotDeadForLong(@ForAll long seed, @ForAll("hosts") int lonely) {
+    FakeFleet f = new FakeFleet(SIZE, seed);
+    f.run(15_000);
+    int friend = (lonely + 1) % SIZE;
+    for (int i = 0; i < SIZE; i++) {
+      if (i != friend && i != lonely) {
+        f.network.setCut(f.address(i), f.address(lonely), true);
+      }
+    }
+    long[] missing = new long[SIZE];
+    for (int t = 0; t < 600; t++) {
+      f.run(100);
+      for (int i = 0; i < SIZE; i++) {
+        missing[i] = f.liveBy(i).contains("h" + lonely) ? 0 : missing[i] + 100;
+        assertThat(missing[i]).as("dead at %s", i).isLessThanOrEqualTo(10_000);
+      }
+    }
+  }
+
+  // Guards against killed members that keep their place, and against a detector that never ends.
+  @Property(tries = 40, seed = "14")
+  void killedMemberIsDeclaredDead(@ForAll long seed, @ForAll("hosts") int victim) {
+    FakeFleet f = new FakeFleet(SIZE, seed);
+    f.network.latePerMille = 10;
+    f.run(15_000);
+    f.kill(victim);
+    f.run(20_000);
+    for (int i = 0; i < SIZE; i++) {
+      if (f.up(i)) {
+        assertThat(f.liveBy(i)).doesNotContain("h" + victim);
+      }
+    }
+  }
+
+  // Guards the 11 s of P8 for every router with a majority, beside a stale control member.
+  @Property(tries = 60, seed = "15")
+  void everyReachableRouterHasTheRevisionWithin11Seconds(
+      @ForAll("steps") List<Step> steps, @ForAll long seed) {
+    FakeFleet f = fleet(seed);
+    f.run(3000);
+    steps.forEach(s -> s.apply(f));
+    f.heal();
+    f.isolated[(int) Math.floorMod(seed, 3)] = true;
+    for (int i = 0; i < FakeFleet.CONTROL_MEMBERS; i++) {
+      f.start(i);
+    }
+    f.run(1000);
+    long accepted = f.commit();
+    f.run(11_000);
+    for (int i = 0; i < SIZE; i++) {
+      if (f.up(i)) {
+        assertThat(f.services[i].configView().revision()).isGreaterThanOrEqualTo(accepted);
+        assertThat(f.services[i].configConfirmed()).isTrue();
+        assertThat(f.services[i].configAgeMillis()).isLessThan(11_000);
+      }
+    }
+  }
+
+  // Guards against a check of the revision that a stale control member alone can pass.
+  @Property(tries = 60, seed = "16")
+  void checkedRevisionIsNotOlderThanItsCheck(@ForAll("steps") List<Step> steps, @ForAll long seed) {
+    FakeFleet f = fleet(seed);
+    f.network.latePerMille = 20;
+    f.network.crossedPerMille = 20;
+    f.run(3000);
+    for (Step s : steps) {
+      s.apply(f);
+      for (int t = 0; t < 20; t++) {
+        long before = f.network.clock.nowMillis();
+        long accepted = f.commit();
+        f.run(200);
+        for (int i = 0; i < SIZE; i++) {
+          PeerService service = f.services[i];
+          long checkedAt = f.network.clock.nowMillis() - service.configAgeMillis();
+          if (f.up(i) && service.configConfirmed() && checkedAt > before) {
+            assertThat(service.configView().revision()).isGreaterThanOrEqualTo(accepted);
+          }
+        }
+      }
+    }
+  }
+}
