--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
@@ -99,6 +99,11 @@
     return promptTokens < 0 ? call.promptBound() : Math.min(promptTokens, call.promptBound());
   }
 
+  /** Returns whether the whole answer was passed on. */
+  public boolean isWhole() {
+    return assembler.complete();
+  }
+
   /** Returns why the answer ended. */
   public String finishReason() {
     return finishReason;
@@ -125,7 +130,7 @@
         .map(events -> accept(start.attempt(), events))
         .takeWhile(tokens -> !cut, true)
         .filter(tokens -> !tokens.isEmpty())
-        .concat(Source.lazySource(() -> checkWhole(start.attempt())));
+        .concatLazy(Source.lazySource(() -> checkWhole(start.attempt())));
   }
 
   private Source<List<String>, NotUsed> checkWhole(int attempt) {
