Hold back slots for the whole expected demand of dearer classes

Patient requests took every slot above the reserved share of the quick class, and held it for 10 s and more while bursts of quick requests waited past their deadline of 2 s. The slots that are held back now follow the recent demand of the dearer class and are no longer capped by its share; the patient class keeps its own share.

--- a/core/src/main/java/org/goldcrestfall/core/admission/SlotRule.java
+++ b/core/src/main/java/org/goldcrestfall/core/admission/SlotRule.java
@@ -4,12 +4,17 @@
 
 /**
  * Decides which class receives the next free slot. A class below its reserved share comes first;
- * spare capacity goes to the earliest deadline. A class may not borrow the slots that a class of
- * higher priority has reserved and, by its recent demand, is about to use, because a slot that a
- * long patient request holds is not available to a quick one for many seconds.
+ * spare capacity goes to the earliest deadline. Beyond its share a class may not use the slots that
+ * a class of higher priority is about to use by its recent demand, because a slot that a long
+ * patient request holds is not available to a quick one for many seconds.
  */
 final class SlotRule {
 
+  /**
+   * Slots that are held back beyond the mean demand, in standard deviations of Poisson arrivals.
+   */
+  private static final double DEVIATIONS = 2;
+
   private final Shares shares;
   private final double slots;
 
@@ -66,9 +71,8 @@
     double sum = 0;
     for (V v : views) {
       if (v.priority() > borrower.priority()) {
-        double expected = v.demand() + Math.sqrt(v.demand());
-        double reserved = Math.min(shares.reserved(v.name(), slots), expected);
-        sum += Math.max(0, reserved - v.running());
+        double expected = v.demand() + DEVIATIONS * Math.sqrt(v.demand());
+        sum += Math.max(0, expected - v.running());
       }
     }
     return sum;
