Let a class start within its reserved share at any time

A router that had filled its part of the slots with borrowed work kept bursts of quick requests in its own queue, while other routers had slots to spare. A class below its reserved share now starts even then and waits at the engine, where its priority counts against the work of all routers.

--- a/core/src/main/java/org/goldcrestfall/core/admission/SlotRule.java
+++ b/core/src/main/java/org/goldcrestfall/core/admission/SlotRule.java
@@ -3,10 +3,11 @@
 import java.util.Collection;
 
 /**
- * Decides which class receives the next free slot. A class below its reserved share comes first;
- * spare capacity goes to the earliest deadline. Beyond its share a class may not use the slots that
- * a class of higher priority is about to use by its recent demand, because a slot that a long
- * patient request holds is not available to a quick one for many seconds.
+ * Decides which class receives the next free slot. A class below its reserved share comes first; it
+ * may start even if other classes have borrowed its slots, and then waits at the engine, which
+ * honours priorities. Spare capacity goes to the earliest deadline. Beyond its share a class may
+ * not use the slots that a class of higher priority is about to use by its recent demand, because a
+ * slot that a long patient request holds is not available to a quick one for many seconds.
  */
 final class SlotRule {
 
@@ -43,9 +44,6 @@
     for (V v : views) {
       total += v.running();
     }
-    if (total + 1 > slots) {
-      return null;
-    }
     V best = null;
     boolean bestReserved = false;
     for (V v : views) {
