Pace requests below the highest priority until their first token

Engines prefill prompts one after the other, so that a few long prompts of patient requests that were dispatched together delayed the quick requests behind them for seconds. A class below the highest priority now has at most one request for each 8 usable slots that awaits its first token. The queue learns of first tokens by onFirstToken.

--- a/core/src/main/java/org/goldcrestfall/core/admission/AdmissionQueue.java
+++ b/core/src/main/java/org/goldcrestfall/core/admission/AdmissionQueue.java
@@ -26,7 +26,16 @@
           .thenComparing(Comparator.comparingLong(QueuedRequest::deadlineMillis).reversed())
           .thenComparing(QueuedRequest::id);
 
-  private record Dispatched(QueuedRequest request, long startMillis) {}
+  private static final class Dispatched {
+    final QueuedRequest request;
+    final long startMillis;
+    boolean hasFirstToken;
+
+    Dispatched(QueuedRequest request, long startMillis) {
+      this.request = request;
+      this.startMillis = startMillis;
+    }
+  }
 
   private final class LiveView implements SlotRule.View {
     final ClassQueue queue;
@@ -52,6 +61,11 @@
       return queue.running;
     }
 
+    @Override
+    public int prefilling() {
+      return queue.prefilling;
+    }
+
     @Override
     public double demand() {
       return queue.demand(nowMillis);
@@ -118,7 +132,8 @@
 
   /**
    * Takes the next request to dispatch, or empty if none waits or no slot may be used. The request
-   * holds a slot until {@link #complete}.
+   * holds a slot until {@link #complete}. Poll again after each event that may free capacity: first
+   * token, completion, load report.
    */
   public Optional<QueuedRequest> poll(double slots, long nowMillis) {
     List<LiveView> views = classes.values().stream().map(q -> new LiveView(q, nowMillis)).toList();
@@ -129,6 +144,7 @@
     QueuedRequest request = next.first();
     remove(request);
     next.queue.running++;
+    next.queue.prefilling++;
     running.put(request.id(), new Dispatched(request, nowMillis));
     return Optional.of(request);
   }
@@ -137,7 +153,18 @@
   public void complete(String id) {
     Dispatched d = running.remove(id);
     if (d != null) {
-      classes.get(d.request.patienceClass()).running--;
+      ClassQueue queue = classes.get(d.request.patienceClass());
+      queue.running--;
+      queue.prefilling -= d.hasFirstToken ? 0 : 1;
+    }
+  }
+
+  /** Records the first token of a polled request; an unknown id is ignored. */
+  public void onFirstToken(String id) {
+    Dispatched d = running.get(id);
+    if (d != null && !d.hasFirstToken) {
+      d.hasFirstToken = true;
+      classes.get(d.request.patienceClass()).prefilling--;
     }
   }
 
--- a/core/src/main/java/org/goldcrestfall/core/admission/ClassQueue.java
+++ b/core/src/main/java/org/goldcrestfall/core/admission/ClassQueue.java
@@ -15,6 +15,7 @@
   final String name;
   final TreeSet<QueuedRequest> waiting = new TreeSet<>(BY_DEADLINE);
   int running;
+  int prefilling;
   int priority;
   private double demand;
   private long demandAtMillis;
--- a/core/src/main/java/org/goldcrestfall/core/admission/SlotRule.java
+++ b/core/src/main/java/org/goldcrestfall/core/admission/SlotRule.java
@@ -16,6 +16,13 @@
    */
   private static final double DEVIATIONS = 2;
 
+  /**
+   * Usable slots for which one request of a class below the highest priority may await its first
+   * token. An engine prefills the long prompts of patient requests one after the other, in front of
+   * the short prompts that arrive meanwhile.
+   */
+  private static final double SLOTS_PER_PREFILL = 8;
+
   private final Shares shares;
   private final double slots;
 
@@ -32,6 +39,9 @@
 
     int running();
 
+    /** Returns the running requests that await their first token. */
+    int prefilling();
+
     double demand();
 
     /** Returns the first waiting request, or null. */
@@ -41,13 +51,15 @@
   /** Returns the view that receives the next slot, or null if none may start. */
   <V extends View> V next(Collection<V> views) {
     int total = 0;
+    int highest = Integer.MIN_VALUE;
     for (V v : views) {
       total += v.running();
+      highest = Math.max(highest, v.priority());
     }
     V best = null;
     boolean bestReserved = false;
     for (V v : views) {
-      if (v.first() == null) {
+      if (v.first() == null || (v.priority() < highest && v.prefilling() >= maxPrefilling())) {
         continue;
       }
       boolean reserved = v.running() < shares.reserved(v.name(), slots);
@@ -65,6 +77,10 @@
     return best;
   }
 
+  private double maxPrefilling() {
+    return Math.max(1, Math.floor(slots / SLOTS_PER_PREFILL));
+  }
+
   private <V extends View> double heldBack(Collection<V> views, V borrower) {
     double sum = 0;
     for (V v : views) {
--- a/core/src/main/java/org/goldcrestfall/core/admission/StartPlan.java
+++ b/core/src/main/java/org/goldcrestfall/core/admission/StartPlan.java
@@ -57,6 +57,12 @@
       return running;
     }
 
+    /** Prefill is short against the slot time, so the plan leaves it out. */
+    @Override
+    public int prefilling() {
+      return 0;
+    }
+
     @Override
     public double demand() {
       return demand;
--- a/core/src/test/java/org/goldcrestfall/core/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/admission/AdmissionQueueTest.java
@@ -72,6 +72,7 @@
         }
         case 3 -> {
           if (!running.isEmpty()) {
+            queue.onFirstToken(running.get(random.nextInt(running.size())));
             queue.complete(running.remove(random.nextInt(running.size())));
           }
         }
@@ -128,6 +129,7 @@
       for (Optional<QueuedRequest> next; (next = queue.poll(10, now)).isPresent(); ) {
         QueuedRequest r = next.get();
         waiting.remove(r.id());
+        queue.onFirstToken(r.id());
         ends.put(r.id(), now + r.holdMillis());
         patientStarts += r.id().startsWith("p") ? 1 : 0;
       }
@@ -169,4 +171,22 @@
     }
     assertThat(first).contains("p");
   }
+
+  /** Guards quick work against a pile of long prompts that are prefilled in front of it. */
+  @Example
+  void patientPromptsArePacedUntilTheirFirstToken() {
+    AdmissionQueue queue = new AdmissionQueue(100, 1_000_000, SHARES);
+    queue.offer(quick("q", 9_000, 10), 16, 0);
+    for (int i = 0; i < 5; i++) {
+      queue.offer(patient("p" + i, 900_000 + i, 1_000), 16, 0);
+    }
+    assertThat(queue.poll(16, 0).orElseThrow().id()).isEqualTo("q");
+    assertThat(queue.poll(16, 0).orElseThrow().id()).isEqualTo("p0");
+    assertThat(queue.poll(16, 0).orElseThrow().id()).isEqualTo("p1");
+    assertThat(queue.poll(16, 0)).isEmpty();
+    queue.onFirstToken("p0");
+    assertThat(queue.poll(16, 0).orElseThrow().id()).isEqualTo("p2");
+    queue.complete("p1");
+    assertThat(queue.poll(16, 0).orElseThrow().id()).isEqualTo("p3");
+  }
 }
--- a/standin/src/main/java/org/goldcrestfall/standin/bench/RouterModel.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/bench/RouterModel.java
@@ -117,6 +117,10 @@
               public void onFirstToken() {
                 firstMillis = simulation.now();
                 router.onFirstToken(send, firstMillis);
+                if (queue != null) {
+                  queue.onFirstToken(request.id());
+                  pump();
+                }
                 measurements.onFirstToken(request, firstMillis);
               }
 
