--- a/standin/src/main/java/org/goldcrestfall/standin/service/ServiceServer.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/service/ServiceServer.java
@@ -78,7 +78,7 @@
         options.upstream.ttlMillis,
         List.of(),
         options.service,
-        null,
+        false,
         new Announcement.Load(running.get(), 0, options.upstream.slots, 0),
         List.of());
   }
--- a/standin/src/main/java/org/goldcrestfall/standin/upstream/Announcement.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/upstream/Announcement.java
@@ -17,7 +17,7 @@
     @JsonProperty("ttl_millis") long ttlMillis,
     List<String> models,
     String service,
-    @JsonProperty("checks_fencing") Boolean checksFencing,
+    @JsonProperty("checks_fencing") boolean checksFencing,
     Load load,
     @JsonProperty("cache_events") List<CacheEvent> cacheEvents) {
 
