Test the promises across real processes

Cause: the wiring of the daemons was only checked by the demo, which kills nothing. Change: four tests start three daemons, an engine and a service as processes, kill the leader, kill a router with open streams, delete the data folder of a member and kill the leader after its return, and stop a router with SIGTERM under load. A drain now also waits for a grant under way, which would otherwise arrive after everything else had been returned.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
@@ -207,7 +207,9 @@
     settleNext();
     sendReturns();
     synchronized (this) {
-      return settlements.size() == 0 && ledger.unacknowledgedReturns().isEmpty();
+      // A grant that is still under way would arrive after the return of everything else.
+      boolean granting = ledger.workspaces().stream().anyMatch(ledger::hasPendingGrant);
+      return !granting && settlements.size() == 0 && ledger.unacknowledgedReturns().isEmpty();
     }
   }
 
@@ -268,12 +270,14 @@
     synchronized (this) {
       long now = clock.nowMillis();
       Long last = asked.get(workspace);
-      if (draining || (last != null && now - last < GRANT_RESEND_MILLIS)) {
+      if (last != null && now - last < GRANT_RESEND_MILLIS) {
         return;
       }
       long available = ledger.available(workspace);
       if (ledger.hasPendingGrant(workspace)) {
         grant = ledger.requestGrant(workspace, 0, 0);
+      } else if (draining) {
+        return;
       } else {
         Optional<GrantPolicy.Ask> ask =
             policy.ask(workspace, tradeoffs.apply(workspace), available, lacking(workspace), now);
--- /dev/null
+++ b/standin/src/test/java/org/goldcrestfall/standin/process/Fleet.java
@@ -0,0 +1,349 @@
+package org.goldcrestfall.standin.process;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.hash.Hashing;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+
+/**
+ * Three daemons with both roles, an engine and a service, each a process of its own on loopback.
+ * Waiting is by polling; nothing depends on how long a step takes, up to a generous limit.
+ */
+final class Fleet implements AutoCloseable {
+
+  static final JsonMapper MAPPER = new JsonMapper();
+
+  private static final long LIMIT_SECONDS = 120;
+  private static final long POLL_MILLIS = 100;
+  private static final String TOKEN = "operator-token";
+  private static final String UPSTREAM_KEY = "upstream-key";
+  private static final Path ROOT = Path.of("..").toAbsolutePath().normalize();
+  private static final Path DAEMON = ROOT.resolve("daemon/target/goldcrestfalld.jar");
+  private static final Path STANDIN = ROOT.resolve("standin/target/goldcrestfall-standin.jar");
+
+  private final Path folder;
+  private final HttpClient http =
+      HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
+  private final Map<String, Process> processes = new LinkedHashMap<>();
+  private final Map<String, Integer> httpPorts = new TreeMap<>();
+  private final Map<String, Integer> peerPorts = new TreeMap<>();
+  private final int servicePort;
+  private int operations;
+
+  Fleet(Path folder, int tokenIntervalMillis) throws Exception {
+    this.folder = folder;
+    List<Integer> ports = freePorts(8);
+    for (int i = 0; i < 3; i++) {
+      httpPorts.put("h" + (i + 1), ports.get(2 * i));
+      peerPorts.put("h" + (i + 1), ports.get(2 * i + 1));
+    }
+    servicePort = ports.get(7);
+    for (String host : hosts()) {
+      startDaemon(host);
+    }
+    List<String> routers = hosts().stream().map(h -> "127.0.0.1:" + httpPorts.get(h)).toList();
+    List<String> common =
+        List.of("--routers", String.join(",", routers), "--upstream-key", UPSTREAM_KEY);
+    startStandin(
+        "engine",
+        ports.get(6),
+        common,
+        "--models",
+        "hull-1",
+        "--token-interval-millis",
+        String.valueOf(tokenIntervalMillis));
+    startStandin("service", servicePort, common, "--service", "mill");
+    for (String host : hosts()) {
+      awaitReady(host);
+      await(
+          "upstreams on " + host,
+          () -> admin("GET", host, "upstreams", null).path("upstreams").size() == 2);
+    }
+  }
+
+  List<String> hosts() {
+    return List.copyOf(httpPorts.keySet());
+  }
+
+  void startDaemon(String host) throws IOException {
+    Path settings = folder.resolve(host + ".json");
+    Files.writeString(settings, settings(host));
+    start(host, List.of("-Xmx160m", "-XX:+UseSerialGC"), DAEMON, "--settings", settings.toString());
+  }
+
+  private void startStandin(String kind, int port, List<String> common, String... more)
+      throws IOException {
+    List<String> args =
+        new ArrayList<>(List.of(kind, "--name", kind + "-1", "--port", String.valueOf(port)));
+    args.addAll(common);
+    args.addAll(List.of(more));
+    start(kind, List.of("-Xmx128m", "-XX:+UseSerialGC"), STANDIN, args.toArray(new String[0]));
+  }
+
+  private void start(String name, List<String> options, Path jar, String... args)
+      throws IOException {
+    List<String> command = new ArrayList<>();
+    command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
+    command.addAll(options);
+    command.addAll(List.of("-jar", jar.toString()));
+    command.addAll(List.of(args));
+    processes.put(
+        name,
+        new ProcessBuilder(command)
+            .redirectErrorStream(true)
+            .redirectOutput(
+                ProcessBuilder.Redirect.appendTo(folder.resolve(name + ".log").toFile()))
+            .start());
+  }
+
+  private String settings(String host) {
+    StringBuilder members = new StringBuilder();
+    StringBuilder seeds = new StringBuilder();
+    for (String h : hosts()) {
+      String comma = members.length() == 0 ? "" : ", ";
+      String address = "127.0.0.1:" + peerPorts.get(h);
+      members.append(comma).append("{\"host\": \"%s\", \"address\": \"%s\"}".formatted(h, address));
+      seeds.append(comma).append('"').append(address).append('"');
+    }
+    return """
+        {"host": "%s", "zone": "zone-%s", "roles": ["router", "control"],
+         "http": {"address": "127.0.0.1", "port": %d},
+         "peer": {"address": "127.0.0.1", "port": %d, "key": "0123456789abcdef0123"},
+         "seeds": [%s], "controlMembers": [%s], "dataFolder": "%s",
+         "operators": [{"name": "ana", "tokenSha256": "%s"}], "upstreamKeySha256": "%s",
+         "drain": {"notReadyMillis": 100, "maxMillis": 60000}}
+        """
+        .formatted(
+            host,
+            host,
+            httpPorts.get(host),
+            peerPorts.get(host),
+            seeds,
+            members,
+            dataFolder(host),
+            sha256(TOKEN),
+            sha256(UPSTREAM_KEY));
+  }
+
+  Path dataFolder(String host) {
+    return folder.resolve("data-" + host);
+  }
+
+  void deleteDataFolder(String host) throws IOException {
+    try (Stream<Path> paths = Files.walk(dataFolder(host))) {
+      for (Path p : paths.sorted(Comparator.reverseOrder()).toList()) {
+        Files.delete(p);
+      }
+    }
+  }
+
+  /** Sends SIGKILL to a process of this fleet. */
+  void kill(String name) throws InterruptedException {
+    Process p = processes.remove(name);
+    p.destroyForcibly();
+    p.waitFor();
+  }
+
+  /** Sends SIGTERM and returns the exit code. */
+  int terminate(String name) throws InterruptedException {
+    Process p = processes.remove(name);
+    p.destroy();
+    p.waitFor();
+    return p.exitValue();
+  }
+
+  /** Returns the host that leads the control group. */
+  String leader() throws Exception {
+    String[] found = new String[1];
+    await(
+        "a leader",
+        () -> {
+          for (String h : hosts()) {
+            if (processes.containsKey(h)
+                && admin("GET", h, "control", null).path("role").asText().equals("leader")) {
+              found[0] = h;
+              return true;
+            }
+          }
+          return false;
+        });
+    return found[0];
+  }
+
+  void awaitReady(String host) throws Exception {
+    await(
+        host + " to be ready",
+        () -> send(host, HttpRequest.newBuilder().GET(), "/readyz").statusCode() == 200);
+  }
+
+  /** Polls until the condition holds; an exception counts as not yet. */
+  static void await(String what, Callable<Boolean> condition) throws Exception {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+    Exception last = null;
+    while (System.nanoTime() < end) {
+      try {
+        if (condition.call()) {
+          return;
+        }
+      } catch (IOException | IllegalStateException e) {
+        last = e;
+      }
+      Thread.sleep(POLL_MILLIS);
+    }
+    throw new IllegalStateException("timed out waiting for " + what, last);
+  }
+
+  /** Makes and confirms a plan, resending under the same operation id until it is answered. */
+  void confirm(String intent) throws Exception {
+    int n = ++operations;
+    String create = "{\"operation_id\": \"create-%d\", \"intent\": %s}".formatted(n, intent);
+    long id = adminOnAny("plans", create).path("id").asLong();
+    String confirm = "{\"operation_id\": \"confirm-%d\"}".formatted(n);
+    String state = adminOnAny("plans/" + id + "/confirm", confirm).path("state").asText();
+    if (!state.equals("CONFIRMED")) {
+      throw new IllegalStateException("plan " + id + " is " + state);
+    }
+  }
+
+  /** Makes an API key for a workspace and waits until every running host accepts it. */
+  String createKey(String workspace) throws Exception {
+    int n = ++operations;
+    JsonNode made =
+        adminOnAny(
+            "keys",
+            "{\"operation_id\": \"key-%d\", \"workspace\": \"%s\", \"key_id\": \"k%d\"}"
+                .formatted(n, workspace, n));
+    long id = made.path("plan").path("id").asLong();
+    adminOnAny("plans/" + id + "/confirm", "{\"operation_id\": \"confirm-%d\"}".formatted(n));
+    String key = made.path("key").asText();
+    for (String h : hosts()) {
+      await("the key on " + h, () -> lookup(h, key).statusCode() == 200);
+    }
+    return key;
+  }
+
+  private JsonNode adminOnAny(String path, String body) throws Exception {
+    JsonNode[] out = new JsonNode[1];
+    await(
+        "an answer to " + path,
+        () -> {
+          for (String h : hosts()) {
+            if (processes.containsKey(h)) {
+              out[0] = admin("POST", h, path, body);
+              return true;
+            }
+          }
+          return false;
+        });
+    return out[0];
+  }
+
+  JsonNode admin(String method, String host, String path, String body) throws Exception {
+    HttpRequest.Builder r =
+        HttpRequest.newBuilder()
+            .header("Authorization", "Bearer " + TOKEN)
+            .method(
+                method,
+                body == null
+                    ? HttpRequest.BodyPublishers.noBody()
+                    : HttpRequest.BodyPublishers.ofString(body));
+    HttpResponse<String> a = send(host, r, "/admin/v1/" + path);
+    if (a.statusCode() != 200) {
+      throw new IllegalStateException(path + ": " + a.statusCode() + " " + a.body());
+    }
+    return MAPPER.readTree(a.body());
+  }
+
+  HttpResponse<String> chat(String host, String key, String id, String prompt, int maxTokens)
+      throws Exception {
+    String body =
+        """
+        {"model": "hull-1", "max_tokens": %d, "messages": [{"role": "user", "content": "%s"}]}
+        """
+            .formatted(maxTokens, prompt);
+    return send(host, caller(key, id).POST(json(body)), "/v1/chat/completions");
+  }
+
+  HttpResponse<String> book(String host, String key, String id) throws Exception {
+    String body = "{\"item\": \"%s\"}".formatted(id);
+    return send(host, caller(key, id).POST(json(body)), "/v1/services/mill/bookings");
+  }
+
+  HttpResponse<String> lookup(String host, String key) throws Exception {
+    return send(
+        host,
+        HttpRequest.newBuilder().header("Authorization", "Bearer " + key).GET(),
+        "/v1/services/mill/stock/cedar");
+  }
+
+  /** Returns how often the service has run each booking. */
+  Map<String, Integer> bookingRuns() throws Exception {
+    HttpRequest r =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + servicePort + "/stats")).build();
+    JsonNode runs =
+        MAPPER.readTree(http.send(r, HttpResponse.BodyHandlers.ofString()).body()).path("runs");
+    Map<String, Integer> out = new TreeMap<>();
+    runs.fields().forEachRemaining(e -> out.put(e.getKey(), e.getValue().asInt()));
+    return out;
+  }
+
+  private static HttpRequest.BodyPublisher json(String body) {
+    return HttpRequest.BodyPublishers.ofString(body);
+  }
+
+  private static HttpRequest.Builder caller(String key, String id) {
+    return HttpRequest.newBuilder()
+        .header("Authorization", "Bearer " + key)
+        .header("Content-Type", "application/json")
+        .header("Idempotency-Key", id)
+        .timeout(Duration.ofSeconds(60));
+  }
+
+  private HttpResponse<String> send(String host, HttpRequest.Builder r, String path)
+      throws IOException, InterruptedException {
+    URI uri = URI.create("http://127.0.0.1:" + httpPorts.get(host) + path);
+    return http.send(r.uri(uri).build(), HttpResponse.BodyHandlers.ofString());
+  }
+
+  private static String sha256(String text) {
+    return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
+  }
+
+  private static List<Integer> freePorts(int count) throws IOException {
+    List<ServerSocket> sockets = new ArrayList<>();
+    List<Integer> ports = new ArrayList<>();
+    for (int i = 0; i < count; i++) {
+      sockets.add(new ServerSocket(0));
+      ports.add(sockets.get(i).getLocalPort());
+    }
+    for (ServerSocket s : sockets) {
+      s.close();
+    }
+    return ports;
+  }
+
+  @Override
+  public void close() throws InterruptedException {
+    for (String name : List.copyOf(processes.keySet())) {
+      kill(name);
+    }
+  }
+}
