--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/http/ParsingErrors.java
@@ -0,0 +1,38 @@
+package org.goldcrestfall.daemon.http;
+
+import org.apache.pekko.event.LoggingAdapter;
+import org.apache.pekko.http.ParsingErrorHandler;
+import org.apache.pekko.http.javadsl.model.HttpResponse;
+import org.apache.pekko.http.scaladsl.model.ErrorInfo;
+import org.apache.pekko.http.scaladsl.model.StatusCode;
+import org.apache.pekko.http.scaladsl.settings.ServerSettings;
+import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.common.RequestFailure;
+
+/** Answers requests that the HTTP library cannot parse in the same form as all other errors. */
+public final class ParsingErrors extends ParsingErrorHandler {
+
+  /** The instance that the HTTP library looks up under this name, as for a Scala object. */
+  @SuppressWarnings("checkstyle:MemberName")
+  public static final ParsingErrors MODULE$ = new ParsingErrors();
+
+  private static final int STATUS_BODY = 413;
+  private static final int STATUS_URI = 414;
+  private static final int STATUS_HEADER = 431;
+
+  private ParsingErrors() {}
+
+  @Override
+  public HttpResponse handle(
+      StatusCode status, ErrorInfo info, LoggingAdapter log, ServerSettings settings) {
+    return Answers.failure(new RequestFailure(kind(status.intValue()), info.summary()), "");
+  }
+
+  private static ErrorKind kind(int status) {
+    return switch (status) {
+      case STATUS_BODY -> ErrorKind.BODY_TOO_LARGE;
+      case STATUS_URI, STATUS_HEADER -> ErrorKind.HEADER_TOO_LARGE;
+      default -> ErrorKind.MALFORMED_REQUEST;
+    };
+  }
+}
--- a/standin/src/test/java/org/goldcrestfall/standin/process/Fleet.java
+++ b/standin/src/test/java/org/goldcrestfall/standin/process/Fleet.java
@@ -317,7 +317,8 @@
         .timeout(Duration.ofSeconds(60));
   }
 
-  private HttpResponse<String> send(String host, HttpRequest.Builder r, String path)
+  /** Sends a request to the HTTP address of a host. */
+  HttpResponse<String> send(String host, HttpRequest.Builder r, String path)
       throws IOException, InterruptedException {
     URI uri = URI.create("http://127.0.0.1:" + httpPorts.get(host) + path);
     return http.send(r.uri(uri).build(), HttpResponse.BodyHandlers.ofString());
