Protect a live member from replacement and add benchmarks of the log

Cause: two processes under one host name would replace each other without end; a learner whose entry was overwritten by another leader no longer asked to join; a member with a full disk said yes to pre-votes; the only member of a group waited for an election timeout. Change: a leader ignores a join while the old member of the host answers; a member asks until it is in the member list; pre-votes need a writable disk; the only voter campaigns at once. scripts/bench log and restart. Result: mvn -pl core,wire,daemon -am verify passes. The benchmarks run; no figures are recorded yet.

--- a/core/src/main/java/org/goldcrestfall/core/consensus/Election.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Election.java
@@ -15,10 +15,12 @@
 
   /** Starts a pre-vote if no leader was heard for an election timeout. */
   void tick() {
-    if (replica.role == Role.LEADER
-        || replica.now < replica.electionAt
-        || !replica.writable
-        || !replica.log.members().isVoter(replica.self)) {
+    Members members = replica.log.members();
+    if (replica.role == Role.LEADER || !replica.writable || !members.isVoter(replica.self)) {
+      return;
+    }
+    // The only voter has granted no other leader a lease, so it need not wait.
+    if (replica.now < replica.electionAt && members.voters().count() > 1) {
       return;
     }
     replica.resetElection();
@@ -40,7 +42,9 @@
     }
     if (m.preVote()) {
       boolean granted =
-          m.term() > replica.term() && replica.isUpToDate(m.lastIndex(), m.lastTerm());
+          m.term() > replica.term()
+              && replica.writable
+              && replica.isUpToDate(m.lastIndex(), m.lastTerm());
       long term = granted ? m.term() : replica.term();
       replica.sendAfterSync(
           new Message.VoteReply(replica.self, m.from(), term, granted, true), true);
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Membership.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Membership.java
@@ -6,7 +6,8 @@
 /**
  * Membership changes of one leadership, one at a time. A host that lost its disk joins as a learner
  * under a new id; once its log has reached the commit index, its old id is removed and then the
- * learner gets the vote.
+ * learner gets the vote. A member that answers is not replaced, so that two processes under one
+ * host name do not take turns.
  */
 final class Membership {
 
@@ -20,7 +21,8 @@
   }
 
   void join(Member member) {
-    if (members().find(member.id()).isEmpty()) {
+    boolean replacesLiveOne = members().voters().anyMatch(v -> isOldOf(v, member) && answers(v));
+    if (members().find(member.id()).isEmpty() && !replacesLiveOne) {
       joining.put(member.host(), member.withVoter(false));
       advance();
     }
@@ -40,12 +42,12 @@
     }
     for (Member m : members().all()) {
       if (!m.voter() && isCaughtUp(m)) {
-        Optional<Member> old = members().voters().filter(v -> v.host().equals(m.host())).findAny();
+        Optional<Member> old = members().voters().filter(v -> isOldOf(v, m)).findAny();
         if (old.isEmpty()) {
           leader.change(members().withVoter(m.id()));
           return;
         }
-        if (!old.get().id().equals(replica.self)) {
+        if (!answers(old.get())) {
           leader.change(members().without(old.get().id()));
           return;
         }
@@ -55,9 +57,17 @@
 
   private boolean isCaughtUp(Member learner) {
     Progress p = leader.progress(learner.id());
-    return p != null
-        && p.match >= replica.commit
-        && p.ackedAt + replica.timing.electionMinMillis() > replica.now;
+    return p != null && p.match >= replica.commit && answers(learner);
+  }
+
+  private static boolean isOldOf(Member voter, Member joining) {
+    return voter.host().equals(joining.host());
+  }
+
+  /** Returns whether a member is this one or has just answered. */
+  private boolean answers(Member member) {
+    Progress p = leader.progress(member.id());
+    return p == null || p.ackedAt + replica.timing.electionMinMillis() > replica.now;
   }
 
   private Members members() {
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/bench/BenchGroup.java
@@ -0,0 +1,78 @@
+package org.goldcrestfall.daemon.bench;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableSortedMap;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.daemon.control.ControlClient;
+import org.goldcrestfall.daemon.control.ControlGroup;
+import org.goldcrestfall.daemon.control.ControlSettings;
+import org.goldcrestfall.daemon.control.StateMachine;
+import org.goldcrestfall.daemon.storage.FolderDisk;
+import org.goldcrestfall.wire.NettyPeerTransport;
+import org.goldcrestfall.wire.PeerSettings;
+import org.goldcrestfall.wire.TransportListener;
+
+/** Control members in one process, each with its own folder, connected over loopback. */
+final class BenchGroup implements AutoCloseable {
+
+  private static final byte[] KEY = "key of the benchmark".getBytes(UTF_8);
+  private static final long POLL_MILLIS = 1;
+
+  private final MillisClock clock = MillisClock.monotonic();
+  private final List<NettyPeerTransport> transports = new ArrayList<>();
+  private final List<ControlGroup> groups = new ArrayList<>();
+
+  BenchGroup(Path folder, List<? extends StateMachine> machines) throws IOException {
+    ImmutableSortedMap.Builder<String, String> members = ImmutableSortedMap.naturalOrder();
+    for (int i = 0; i < machines.size(); i++) {
+      try (ServerSocket socket = new ServerSocket(0)) {
+        members.put("m" + i, "127.0.0.1:" + socket.getLocalPort());
+      }
+    }
+    ImmutableSortedMap<String, String> addresses = members.build();
+    for (int i = 0; i < machines.size(); i++) {
+      String host = "m" + i;
+      int port = Integer.parseInt(addresses.get(host).split(":")[1]);
+      PeerSettings peer = new PeerSettings(host, "127.0.0.1", port, "bench", KEY);
+      NettyPeerTransport transport = new NettyPeerTransport(peer, TransportListener.NONE);
+      transports.add(transport);
+      groups.add(
+          ControlGroup.open(
+              ControlSettings.of(host, addresses),
+              new FolderDisk(folder.resolve(host)),
+              machines.get(i),
+              transport,
+              clock,
+              i));
+    }
+  }
+
+  /** Waits for a leader, and returns a client in its process. */
+  ControlClient awaitLeader() throws InterruptedException {
+    while (true) {
+      for (int i = 0; i < groups.size(); i++) {
+        if (groups.get(i).isLeaderWithLease(clock.nowMillis())) {
+          List<String> addresses = groups.stream().map(ControlGroup::address).toList();
+          return new ControlClient(addresses, transports.get(i), clock, groups.get(i));
+        }
+      }
+      Thread.sleep(POLL_MILLIS);
+    }
+  }
+
+  ControlGroup member(int number) {
+    return groups.get(number);
+  }
+
+  @Override
+  public void close() {
+    groups.forEach(ControlGroup::close);
+    transports.forEach(NettyPeerTransport::close);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/bench/BenchOptions.java
@@ -0,0 +1,61 @@
+package org.goldcrestfall.daemon.bench;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+
+/** The options that the benchmarks share. */
+final class BenchOptions {
+
+  @Parameter(names = "--folder", description = "folder on the disk to measure")
+  private String folder = "target";
+
+  @Parameter(names = "--seconds", description = "time of each measurement")
+  private int seconds = 5;
+
+  @Parameter(names = "--bytes", description = "size of a command")
+  private int bytes = 300;
+
+  @Parameter(names = "--in-flight", description = "commands that wait at a time, when batched")
+  private int inFlight = 256;
+
+  private BenchOptions() {}
+
+  /** Parses the arguments, and keeps the log quiet. */
+  static BenchOptions parse(String name, String[] args) {
+    Logger.getLogger("").setLevel(Level.SEVERE);
+    BenchOptions options = new BenchOptions();
+    JCommander commander = JCommander.newBuilder().programName(name).addObject(options).build();
+    try {
+      commander.parse(args);
+    } catch (ParameterException e) {
+      System.err.println(e.getMessage());
+      commander.usage();
+      System.exit(2);
+    }
+    return options;
+  }
+
+  Path newFolder() throws IOException {
+    Path parent = Path.of(folder);
+    Files.createDirectories(parent);
+    return Files.createTempDirectory(parent, "bench-");
+  }
+
+  long nanos() {
+    return seconds * 1_000_000_000L;
+  }
+
+  int bytes() {
+    return bytes;
+  }
+
+  int inFlight() {
+    return inFlight;
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/bench/package-info.java
@@ -0,0 +1,2 @@
+/** Benchmarks of the replicated log; run by {@code scripts/bench}. */
+package org.goldcrestfall.daemon.bench;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/Formation.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/Formation.java
@@ -5,7 +5,6 @@
 import java.io.IOException;
 import java.util.Map;
 import java.util.TreeMap;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.consensus.Member;
@@ -38,15 +37,17 @@
   }
 
   void start() {
-    if (group.status().members().all().isEmpty()) {
-      executor.execute(this::ask);
-    }
+    executor.scheduleWithFixedDelay(this::ask, 0, ROUND_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   private void ask() {
-    if (!group.status().members().all().isEmpty()) {
-      return;
+    // Also later: the entry that added the member may have been overwritten by another leader.
+    if (group.status().members().find(group.identity().id()).isEmpty()) {
+      askOthers();
     }
+  }
+
+  private void askOthers() {
     empty.clear();
     empty.put(settings.host(), group.identity().id());
     JoinRequest request =
@@ -66,11 +67,6 @@
               }
             });
     maybeForm();
-    try {
-      executor.schedule(this::ask, ROUND_MILLIS, TimeUnit.MILLISECONDS);
-    } catch (RejectedExecutionException e) {
-      logger.atFine().log("consensus: closed before the member had joined");
-    }
   }
 
   private void answered(String host, JoinReply reply) {
