--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlClient.java
@@ -48,9 +48,14 @@
   /**
    * Commits a command and returns its reply. The future fails with a {@link RequestFailure} of kind
    * {@code NO_QUORUM} if the command was certainly not committed, and with {@link
-   * UnknownOutcomeException} if it may have been or may yet be.
+   * UnknownOutcomeException} if it may have been or may yet be. A command of more than {@link
+   * ControlGroup#MAX_COMMAND_BYTES} is refused with {@code BODY_TOO_LARGE}.
    */
   public CompletableFuture<byte[]> submit(byte[] command, long timeoutMillis) {
+    if (command.length > ControlGroup.MAX_COMMAND_BYTES) {
+      return CompletableFuture.failedFuture(
+          new RequestFailure(ErrorKind.BODY_TOO_LARGE, "the command is too large to be committed"));
+    }
     return new Call(false, command, clock.nowMillis() + timeoutMillis).start();
   }
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlGroup.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlGroup.java
@@ -38,6 +38,9 @@
  */
 public final class ControlGroup implements AutoCloseable {
 
+  /** The size of the largest command; two of them fit into one frame between daemons. */
+  public static final int MAX_COMMAND_BYTES = 1 << 20;
+
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 20;
   private static final int MAX_PENDING = 10_000;
@@ -129,6 +132,12 @@
   /** Submits a command to this member; fails with {@link NotLeaderException} if it cannot lead. */
   public CompletableFuture<byte[]> submit(byte[] command) {
     CompletableFuture<byte[]> reply = new CompletableFuture<>();
+    if (command.length > MAX_COMMAND_BYTES) {
+      // A frame could not carry it, and so the entry would stop the replication of all others.
+      reply.completeExceptionally(
+          new RequestFailure(ErrorKind.BODY_TOO_LARGE, "the command is too large to be committed"));
+      return reply;
+    }
     execute(
         () -> {
           if (proposals.size() >= MAX_PENDING) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/ControlFaultTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/ControlFaultTest.java
@@ -152,6 +152,19 @@
     assertThat(FakeHosts.read(client)).isEqualTo("a");
   }
 
+  /** Guards against an entry that no frame can carry and that stops the replication. */
+  @Example
+  void commandThatNoFrameCanCarryIsRefused() throws Exception {
+    start(3);
+    ControlClient client = hosts.client();
+    byte[] large = new byte[ControlGroup.MAX_COMMAND_BYTES + 1];
+    Throwable failure = failure(client.submit(large, SHORT_MILLIS));
+    assertThat(((RequestFailure) failure).kind()).isEqualTo(ErrorKind.BODY_TOO_LARGE);
+    Throwable direct = failure(hosts.group(hosts.awaitLeader()).submit(large));
+    assertThat(((RequestFailure) direct).kind()).isEqualTo(ErrorKind.BODY_TOO_LARGE);
+    assertThat(FakeHosts.submit(client, "a")).isEqualTo("0");
+  }
+
   /** Guards against a cut off leader that answers its own process from outdated state. */
   @Example
   void isolatedLeaderAnswersNoQueryAndKnowsNoOutcome() throws Exception {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/storage/DataFolderTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/storage/DataFolderTest.java
@@ -190,6 +190,16 @@
     assertThat(reload().hardState()).isEqualTo(new HardState(3, "c"));
   }
 
+  @Example
+  void entriesOfFailedBatchDoNotComeBackBehindShorterOne() throws IOException {
+    DataFolder folder = filled(1);
+    disk.failSyncs(1);
+    assertThatThrownBy(() -> folder.write(List.of(append(entries(2, 3, 6)))))
+        .hasMessageContaining("Input/output error");
+    folder.write(List.of(append(entries(3, 3, 3))));
+    assertThat(reload().entries()).hasSize(3).endsWith(entry(3, 3));
+  }
+
   @Example
   void filesSetAsideLeaveAnEmptyFolder() throws IOException {
     DataFolder folder = filled(3);
