Wire reserve shares and let a release close a destroyed router

Three faults stood in the way of releases and proofs in a fleet: hosts that only have the control role never report transfers and would block every release; nothing closed the incarnation of a host that never comes back; and a proof of use said nothing about workspaces without a watermark, so their tokens stayed stranded. Registration now states whether the host is a router and whether it has a disk, the confirmation of ReleaseStranded closes the incarnation, and CloseIncarnation states whether its marks are complete.

--- a/core/src/main/java/org/goldcrestfall/core/control/BudgetBook.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/BudgetBook.java
@@ -76,11 +76,12 @@
 
   /** Returns the part of what is left of a budget that one router may hold. */
   private long fairShare(Budget b, long sharePerMille) {
-    long perMille = sharePerMille == 0 ? 1000 : Math.min(sharePerMille, 1000L * hosts.openCount());
+    long perMille =
+        sharePerMille == 0 ? 1000 : Math.min(sharePerMille, 1000L * hosts.openRouters());
     long left = b.paidIn - b.settled;
     // Dividing first keeps the product of a large budget within a long.
     long weighted = left < 1_000_000_000 ? left * perMille / 1000 : left / 1000 * perMille;
-    return weighted / Math.max(1, hosts.openCount());
+    return weighted / Math.max(1, hosts.openRouters());
   }
 
   ControlReply giveBack(ControlCommand.ReturnAllotment c) {
@@ -133,17 +134,17 @@
   }
 
   /** Applies the proved highest use of a closed incarnation. */
-  Refused prove(Incarnation incarnation, Map<String, Long> highestUsed) {
+  Refused prove(Incarnation incarnation, Map<String, Long> highestUsed, boolean complete) {
     for (Map.Entry<String, Long> e : highestUsed.entrySet()) {
       if (e.getValue() < 0 || !budgets.containsKey(e.getKey())) {
         return new Refused(INVALID_PARAMETER, "the highest use names an unknown workspace");
       }
     }
-    for (Map.Entry<String, Long> e : new TreeMap<>(highestUsed).entrySet()) {
-      Budget b = budgets.get(e.getKey());
+    for (Budget b : budgets.values()) {
+      Long used = highestUsed.getOrDefault(b.workspace, complete ? 0L : null);
       Account a = b.accounts.get(incarnation);
-      if (a != null && a.released == 0) {
-        b.change(a, x -> x.highestUsed = Math.max(x.highestUsed, e.getValue()));
+      if (a != null && used != null && a.released == 0) {
+        b.change(a, x -> x.highestUsed = Math.max(x.highestUsed, used));
       }
     }
     return null;
--- a/core/src/main/java/org/goldcrestfall/core/control/ControlCommand.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/ControlCommand.java
@@ -32,9 +32,17 @@
 
   /**
    * Issues the next boot number of a host and closes its older incarnations; the same nonce gives
-   * the same number.
+   * the same number. {@code router} tells whether it holds allotments, {@code disk} whether it can
+   * prove after a restart what it has used of them.
    */
-  record RegisterHost(String host, String zone, String address, String nonce, long atMillis)
+  record RegisterHost(
+      String host,
+      String zone,
+      String address,
+      String nonce,
+      boolean router,
+      boolean disk,
+      long atMillis)
       implements ControlCommand {
 
     /** Checks that no field is missing. */
@@ -47,8 +55,11 @@
   /**
    * Returns the allotments of a closed incarnation beyond its highest use; {@code highestUsed} maps
    * a workspace to the cumulative tokens that the incarnation may have used or transferred away.
+   * Where {@code complete} is true, it has used nothing of the workspaces that are not named;
+   * otherwise nothing is proved about them.
    */
-  record CloseIncarnation(Incarnation incarnation, Map<String, Long> highestUsed, long atMillis)
+  record CloseIncarnation(
+      Incarnation incarnation, Map<String, Long> highestUsed, boolean complete, long atMillis)
       implements ControlCommand {
 
     /** Checks that no field is missing. */
--- a/core/src/main/java/org/goldcrestfall/core/control/ControlState.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/ControlState.java
@@ -25,7 +25,8 @@
   private final BookingBook bookings = new BookingBook(budgets, hosts);
   private final ConfigBook config = new ConfigBook();
   private final OrderBook orders = new OrderBook();
-  private final PlanBook plans = new PlanBook(config, new IntentEffects(config, budgets, orders));
+  private final PlanBook plans =
+      new PlanBook(config, new IntentEffects(config, budgets, orders, hosts, this::closeIfOpen));
   private long lastIndex;
 
   /** Creates the state before the first command. */
@@ -128,14 +129,18 @@
     if (!hosts.isKnown(i)) {
       return new Refused(NOT_FOUND, "the router incarnation " + i + " is not registered");
     }
+    closeIfOpen(i, index);
+    Refused refused = budgets.prove(i, c.highestUsed(), c.complete());
+    return refused != null ? refused : new ControlReply.Done();
+  }
+
+  private void closeIfOpen(Incarnation i, long index) {
     if (hosts.isOpen(i)) {
       hosts.close(i.host(), index);
       budgets.close(i.host(), i.boot() + 1, index);
       bookings.close(i.host(), i.boot() + 1);
       budgets.releaseRequested();
     }
-    Refused refused = budgets.prove(i, c.highestUsed());
-    return refused != null ? refused : new ControlReply.Done();
   }
 
   private ControlReply reportTransfers(ControlCommand.ReportTransfers c) {
--- a/core/src/main/java/org/goldcrestfall/core/control/HostBook.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/HostBook.java
@@ -48,7 +48,10 @@
     if (nonces.size() > MAX_NONCES) {
       nonces.remove(0);
     }
-    hosts.put(c.host(), new HostRecord(c.host(), c.zone(), c.address(), boot, index, 0, 0, nonces));
+    hosts.put(
+        c.host(),
+        new HostRecord(
+            c.host(), c.zone(), c.address(), boot, c.router(), c.disk(), index, 0, 0, nonces));
     return boot;
   }
 
@@ -62,6 +65,8 @@
             r.zone(),
             r.address(),
             r.boot(),
+            r.router(),
+            r.disk(),
             r.registeredAt(),
             index,
             r.closedThrough(),
@@ -77,6 +82,8 @@
             r.zone(),
             r.address(),
             r.boot(),
+            r.router(),
+            r.disk(),
             r.registeredAt(),
             r.closedAt(),
             Math.max(r.closedThrough(), closedThrough),
@@ -99,18 +106,21 @@
     return i.boot() < r.boot() ? r.registeredAt() : r.closedAt();
   }
 
-  int openCount() {
+  int openRouters() {
     int n = 0;
     for (HostRecord r : hosts.values()) {
-      n += r.closedAt() == 0 ? 1 : 0;
+      n += r.router() && r.closedAt() == 0 ? 1 : 0;
     }
     return n;
   }
 
-  /** Returns whether no open incarnation can hold an unreported transfer from before the index. */
+  /** Returns whether no open router can hold an unreported transfer from before the index. */
   boolean allReportedThrough(long index) {
     for (HostRecord r : hosts.values()) {
-      if (r.closedAt() == 0 && r.registeredAt() < index && r.closedThrough() < index) {
+      if (r.router()
+          && r.closedAt() == 0
+          && r.registeredAt() < index
+          && r.closedThrough() < index) {
         return false;
       }
     }
--- a/core/src/main/java/org/goldcrestfall/core/control/HostRecord.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/HostRecord.java
@@ -13,6 +13,8 @@
     String zone,
     String address,
     long boot,
+    boolean router,
+    boolean disk,
     long registeredAt,
     long closedAt,
     long closedThrough,
--- a/core/src/main/java/org/goldcrestfall/core/control/Intent.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/Intent.java
@@ -49,7 +49,11 @@
   record DefineService(String name, long priceTokens, List<String> idempotentMethods)
       implements Intent {}
 
-  /** Returns the stranded tokens of a closed incarnation, after its host was destroyed. */
+  /**
+   * Closes an incarnation whose process is certainly gone, and returns its stranded tokens as soon
+   * as no router can hold an unreported transfer from it. What it delivered without billing is
+   * written off.
+   */
   record ReleaseStranded(String workspace, Incarnation incarnation) implements Intent {}
 
   /** Orders an engine to load a model or adapter or to change role. */
--- a/core/src/main/java/org/goldcrestfall/core/control/IntentChecks.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/IntentChecks.java
@@ -33,7 +33,8 @@
   private IntentChecks() {}
 
   /** Throws a {@link RequestFailure} if the intent is not valid in the current state. */
-  static void check(Intent intent, ConfigBook config, BudgetBook budgets, OrderBook orders) {
+  static void check(
+      Intent intent, ConfigBook config, BudgetBook budgets, OrderBook orders, HostBook hosts) {
     if (intent instanceof Intent.CreateWorkspace i) {
       name("the workspace name", i.name());
       expect(i.tradeoff() != null, "the trade-off must be STRICT or AVAILABLE");
@@ -70,9 +71,11 @@
       service(i);
     } else if (intent instanceof Intent.ReleaseStranded i) {
       workspace(i.workspace(), config);
-      Account a = i.incarnation() == null ? null : account(i, budgets);
-      require(a != null, "the incarnation holds no allotment of " + i.workspace());
-      refuseIf(a.releaseRequested, PLAN_CONFLICT, "the release was already confirmed");
+      require(
+          i.incarnation() != null && hosts.isKnown(i.incarnation()),
+          "the incarnation is not registered");
+      Account a = budgets.find(i.workspace()).accounts.get(i.incarnation());
+      refuseIf(a != null && a.releaseRequested, PLAN_CONFLICT, "the release was already confirmed");
     } else if (intent instanceof Intent.OrderEngine i) {
       name("the engine name", i.engine());
       matches(ACTION, i.action(), "the action must match " + ACTION);
@@ -86,10 +89,6 @@
     }
   }
 
-  private static Account account(Intent.ReleaseStranded i, BudgetBook budgets) {
-    return budgets.find(i.workspace()).accounts.get(i.incarnation());
-  }
-
   private static void patienceClass(Intent.SetPatienceClass i) {
     name("the class name", i.name());
     range("pricePerMille", i.pricePerMille(), 1, MAX_PRICE_PER_MILLE);
--- a/core/src/main/java/org/goldcrestfall/core/control/IntentEffects.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/IntentEffects.java
@@ -1,7 +1,9 @@
 package org.goldcrestfall.core.control;
 
 import java.util.List;
+import java.util.function.ObjLongConsumer;
 import java.util.stream.Collectors;
+import org.goldcrestfall.core.common.Incarnation;
 import org.goldcrestfall.core.control.ConfigView.Key;
 import org.goldcrestfall.core.control.ConfigView.PatienceClass;
 import org.goldcrestfall.core.control.ConfigView.Service;
@@ -16,15 +18,24 @@
   private final ConfigBook config;
   private final BudgetBook budgets;
   private final OrderBook orders;
-
-  IntentEffects(ConfigBook config, BudgetBook budgets, OrderBook orders) {
+  private final HostBook hosts;
+  private final ObjLongConsumer<Incarnation> closing;
+
+  IntentEffects(
+      ConfigBook config,
+      BudgetBook budgets,
+      OrderBook orders,
+      HostBook hosts,
+      ObjLongConsumer<Incarnation> closing) {
+    this.hosts = hosts;
+    this.closing = closing;
     this.config = config;
     this.budgets = budgets;
     this.orders = orders;
   }
 
   void check(Intent intent) {
-    IntentChecks.check(intent, config, budgets, orders);
+    IntentChecks.check(intent, config, budgets, orders, hosts);
   }
 
   /** Returns the change that the intent would make now. */
@@ -85,6 +96,7 @@
     } else if (intent instanceof Intent.DefineService i) {
       config.put(index, service(i));
     } else if (intent instanceof Intent.ReleaseStranded i) {
+      closing.accept(i.incarnation(), index);
       budgets.requestRelease(i.workspace(), i.incarnation());
     } else if (intent instanceof Intent.OrderEngine i) {
       orders.queue(index, i, atMillis);
--- a/core/src/test/java/org/goldcrestfall/core/budget/EscrowWorld.java
+++ b/core/src/test/java/org/goldcrestfall/core/budget/EscrowWorld.java
@@ -67,14 +67,14 @@
     registrations++;
     String host = "a" + i;
     ControlCommand register =
-        new ControlCommand.RegisterHost(host, "z", "x", "n" + registrations, 0);
+        new ControlCommand.RegisterHost(host, "z", "x", "n" + registrations, true, hasDisk(i), 0);
     long boot = ((ControlReply.Registered) apply(register)).boot();
     network.add(() -> apply(register));
     FakeRouter old = hosts[i];
     hosts[i] = new FakeRouter(new Incarnation(host, boot), hasDisk(i));
     all.add(hosts[i]);
     if (old != null && hasDisk(i)) {
-      send(hosts[i], new ControlCommand.CloseIncarnation(old.self, old.durable(), 0));
+      send(hosts[i], new ControlCommand.CloseIncarnation(old.self, old.durable(), true, 0));
     }
   }
 
--- a/core/src/test/java/org/goldcrestfall/core/budget/FakeRouter.java
+++ b/core/src/test/java/org/goldcrestfall/core/budget/FakeRouter.java
@@ -25,6 +25,7 @@
   final BlockWatermark watermark;
   final List<Run> running = new ArrayList<>();
   final Set<Long> toSend = new HashSet<>();
+  private long lacking;
   boolean alive = true;
   boolean frozen;
   boolean cut;
@@ -51,7 +52,7 @@
     out.addAll(transfers.unreported());
     transfers.closedThrough().ifPresent(i -> out.add(new ControlCommand.ReportTransfers(self, i)));
     policy
-        .ask(WORKSPACE, Tradeoff.STRICT, ledger.available(WORKSPACE), 0, now)
+        .ask(WORKSPACE, Tradeoff.STRICT, ledger.available(WORKSPACE), lacking, now)
         .ifPresent(a -> out.add(ledger.requestGrant(WORKSPACE, a.tokens(), a.needed())));
     queue.next(now, flush).ifPresent(out::add);
     out.addAll(ledger.unacknowledgedReturns());
@@ -91,7 +92,9 @@
   /** Starts a request if the ledger covers its worst case. */
   boolean run(String id, long worstCase, long now) {
     policy.demand(WORKSPACE, worstCase, now);
+    lacking = 0;
     if (!reserve(worstCase)) {
+      lacking = worstCase;
       return false;
     }
     running.add(new Run(id, worstCase));
--- a/core/src/test/java/org/goldcrestfall/core/control/ControlStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/control/ControlStateTest.java
@@ -99,7 +99,7 @@
     group.register("a1", "n2");
     assertThat(group.budget("hulls").stranded()).isEqualTo(100);
     assertRefused(group.apply(new GrantAllotment(router, "hulls", 3, 1, 1, 0)), ErrorKind.DRAINING);
-    group.apply(new ControlCommand.CloseIncarnation(router, Map.of("hulls", 30L), 0));
+    group.apply(new ControlCommand.CloseIncarnation(router, Map.of("hulls", 30L), false, 0));
     assertThat(group.budget("hulls").stranded()).isEqualTo(30);
     assertThat(group.budget("hulls").unallotted()).isEqualTo(70);
   }
@@ -179,7 +179,7 @@
     Incarnation dead = group.register("a1", "n");
     final Incarnation live = group.register("b1", "n");
     group.apply(new GrantAllotment(dead, "hulls", 1, 60, 60, 0));
-    group.apply(new ControlCommand.CloseIncarnation(dead, Map.of(), 0));
+    group.apply(new ControlCommand.CloseIncarnation(dead, Map.of(), false, 0));
     group.confirm(new Intent.ReleaseStranded("hulls", dead));
     assertThat(group.budget("hulls").unallotted()).isEqualTo(40);
     group.apply(new ControlCommand.TransferAllotment(dead, live, "hulls", 1, 25));
--- a/core/src/test/java/org/goldcrestfall/core/control/Group.java
+++ b/core/src/test/java/org/goldcrestfall/core/control/Group.java
@@ -49,7 +49,9 @@
   /** Registers the next incarnation of a host. */
   public Incarnation register(String host, String nonce) {
     ControlReply reply =
-        apply(new ControlCommand.RegisterHost(host, "zone-a", "127.0.0.1:9080", nonce, 0));
+        apply(
+            new ControlCommand.RegisterHost(
+                host, "zone-a", "127.0.0.1:9080", nonce, true, false, 0));
     return new Incarnation(host, ((ControlReply.Registered) reply).boot());
   }
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
@@ -238,6 +238,8 @@
                 settings.zone(),
                 settings.peer().endpoint(),
                 nonce,
+                settings.has(Role.ROUTER),
+                settings.dataFolder().isPresent(),
                 utc.nowMillis()))
         .whenCompleteAsync(
             (r, e) -> {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/EscrowPolicy.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/bench/EscrowPolicy.java
@@ -5,8 +5,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.goldcrestfall.core.budget.ReserveShare;
 import org.goldcrestfall.core.common.Incarnation;
-import org.goldcrestfall.core.control.AllotmentAccount;
 import org.goldcrestfall.core.control.BudgetView;
 import org.goldcrestfall.core.control.ControlCommand;
 import org.goldcrestfall.core.control.ControlQuery;
@@ -58,7 +58,7 @@
     registrations++;
     String host = "a" + i;
     ControlReply reply =
-        apply(new ControlCommand.RegisterHost(host, "z", "", "n" + registrations, 0));
+        apply(new ControlCommand.RegisterHost(host, "z", "", "n" + registrations, true, false, 0));
     Incarnation self = new Incarnation(host, ((ControlReply.Registered) reply).boot());
     boolean disk = i < BudgetTrace.ROUTERS_WITH_DISK;
     if (disk && self.boot() > 1) {
@@ -70,11 +70,7 @@
   }
 
   private void proveUse(Incarnation old, Map<String, Long> marks) {
-    Map<String, Long> proof = new HashMap<>(marks);
-    for (Object o : (List<?>) state.query(new ControlQuery.Accounts(old))) {
-      proof.putIfAbsent(((AllotmentAccount) o).workspace(), 0L);
-    }
-    apply(new ControlCommand.CloseIncarnation(old, proof, 0));
+    apply(new ControlCommand.CloseIncarnation(old, marks, true, 0));
   }
 
   /** Sends a command of a router to the control group. */
@@ -101,15 +97,13 @@
     return cut[from.number()] ? null : (List<?>) state.query(new ControlQuery.Recalls());
   }
 
-  /** Returns for how many routers a router holds the reserve of its zone; zones are modulo 3. */
-  double reserveShare(int router) {
-    int inZone = 0;
-    int withDisk = 0;
-    for (int i = router % 3; i < BudgetTrace.ROUTERS; i += 3) {
-      inZone++;
-      withDisk += i < BudgetTrace.ROUTERS_WITH_DISK ? 1 : 0;
+  /** Returns the reserve share of a router; the zones are its number modulo 3. */
+  static double reserveShare(int router) {
+    List<ReserveShare.Router> routers = new ArrayList<>();
+    for (int i = 0; i < BudgetTrace.ROUTERS; i++) {
+      routers.add(new ReserveShare.Router("a" + i, "z" + i % 3, i < BudgetTrace.ROUTERS_WITH_DISK));
     }
-    return router < BudgetTrace.ROUTERS_WITH_DISK ? (double) inZone / withDisk : 0;
+    return ReserveShare.of("a" + router, routers);
   }
 
   /** Returns the live routers on the same side, without the asking one. */
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/EscrowRouter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/bench/EscrowRouter.java
@@ -63,8 +63,8 @@
     ledger = new AllotmentLedger(self, disk == null ? UseLimit.NONE : watermark);
     queue = new SettlementQueue(ledger);
     transfers = new TransferLedger(ledger);
-    policy.setReserveShare(net.reserveShare(number));
-    ledger.setSharePerMille((long) (1000 * Math.max(1, net.reserveShare(number))));
+    policy.setReserveShare(EscrowPolicy.reserveShare(number));
+    ledger.setSharePerMille((long) (1000 * Math.max(1, EscrowPolicy.reserveShare(number))));
     for (int w = 0; w < BudgetTrace.WORKSPACES; w++) {
       waiting.put(BudgetTrace.workspace(w), new ArrayDeque<>());
     }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
@@ -138,13 +138,22 @@
     return policy.gift(workspace, ledger.available(workspace), tokens, clock.nowMillis());
   }
 
-  /** Returns the workspaces with waiting requests, and the tokens that they lack. */
+  /** Sets for how many routers this one holds the reserve that outlasts a partition. */
+  public synchronized void setReserveShare(double routers) {
+    policy.setReserveShare(routers);
+    ledger.setSharePerMille(Math.max(1_000, Math.round(1_000 * routers)));
+  }
+
+  /**
+   * Returns the workspaces with waiting requests, and the tokens to ask peers for: what the
+   * requests lack and some for the next ones.
+   */
   public synchronized Map<String, Long> shortages() {
     Map<String, Long> out = new HashMap<>();
     for (String w : waiters.keySet()) {
       long lack = lacking(w);
       if (lack > 0) {
-        out.put(w, lack);
+        out.put(w, policy.askPeer(w, lack, clock.nowMillis()));
       }
     }
     return out;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/TransferService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/TransferService.java
@@ -4,6 +4,7 @@
 import com.google.common.flogger.FluentLogger;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -12,6 +13,8 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Supplier;
+import java.util.stream.Collectors;
+import org.goldcrestfall.core.budget.ReserveShare;
 import org.goldcrestfall.core.budget.TransferLedger;
 import org.goldcrestfall.core.common.Incarnation;
 import org.goldcrestfall.core.common.MillisClock;
@@ -44,6 +47,7 @@
   private final Supplier<Map<Incarnation, String>> routers;
   private final MillisClock clock;
   private final Map<String, Long> asked = new HashMap<>();
+  private volatile Set<String> hostsWithDisk = Set.of();
   private boolean reporting;
 
   /**
@@ -115,8 +119,14 @@
 
   private void close(JsonNode hosts) {
     Set<Incarnation> closed = new HashSet<>();
+    List<ReserveShare.Router> inService = new ArrayList<>();
     long through = 0;
     for (JsonNode h : hosts) {
+      if (h.path("router").asBoolean() && h.path("closed_at").asLong() == 0) {
+        inService.add(
+            new ReserveShare.Router(
+                h.path("host").asText(), h.path("zone").asText(), h.path("disk").asBoolean()));
+      }
       long boot = h.path("boot").asLong();
       boolean open = h.path("closed_at").asLong() == 0;
       for (long b = 1; b < boot || (!open && b == boot); b++) {
@@ -127,6 +137,12 @@
         through = Math.max(through, h.path("registered_at").asLong());
       }
     }
+    hostsWithDisk =
+        inService.stream()
+            .filter(ReserveShare.Router::disk)
+            .map(ReserveShare.Router::host)
+            .collect(Collectors.toUnmodifiableSet());
+    budgets.setReserveShare(ReserveShare.of(budgets.self().host(), inService));
     long index = through;
     Optional<Long> stated =
         budgets.withLedger(
@@ -138,8 +154,13 @@
   }
 
   private void ask(String workspace, long tokens) {
-    List<String> addresses = new ArrayList<>(routers.get().values());
-    Collections.shuffle(addresses);
+    List<String> addresses = new ArrayList<>();
+    Map<Incarnation, String> live = routers.get();
+    List<Incarnation> peers = new ArrayList<>(live.keySet());
+    Collections.shuffle(peers);
+    // Routers with a disk hold the reserve of their zone.
+    peers.sort(Comparator.comparing(p -> !hostsWithDisk.contains(p.host())));
+    peers.forEach(p -> addresses.add(live.get(p)));
     Body body =
         Body.newBuilder()
             .setTransferRequest(
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/WatermarkWriter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/WatermarkWriter.java
@@ -78,7 +78,7 @@
     earlier.forEach(
         (i, marks) ->
             control
-                .submit(new ControlCommand.CloseIncarnation(i, marks, nowUtcMillis))
+                .submit(new ControlCommand.CloseIncarnation(i, marks, true, nowUtcMillis))
                 .whenComplete((r, e) -> closed(i, e == null)));
   }
 
