--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/control/OperatorPropertyTest.java
@@ -0,0 +1,104 @@
+package org.goldcrestfall.core.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.Size;
+import org.goldcrestfall.core.common.ErrorKind;
+
+/** Guards operators against lost updates and against operations that are applied twice. */
+final class OperatorPropertyTest {
+
+  private final Group group = new Group();
+  private final Map<ControlCommand, ControlReply> answers = new HashMap<>();
+  private final List<ControlCommand> sent = new ArrayList<>();
+  private final List<Long> plans = new ArrayList<>();
+
+  @Property(tries = 300, seed = "20261206")
+  void confirmedChangesFormOneHistoryAndResentOperationsReturnTheFirstAnswer(
+      @ForAll @Size(min = 20, max = 120) List<Integer> steps) {
+    // jqwik runs all tries on one instance.
+    new OperatorPropertyTest().run(steps);
+  }
+
+  private void run(List<Integer> steps) {
+    group.workspace("hulls", 0);
+    group.workspace("kits", 0);
+    int operation = 0;
+    for (int step : steps) {
+      int a = Math.floorMod(step, 1 << 20);
+      String operator = a % 2 == 0 ? "ana" : "ben";
+      String workspace = a / 2 % 2 == 0 ? "hulls" : "kits";
+      operation++;
+      switch (a / 4 % 5) {
+        case 0, 1 -> {
+          Intent intent =
+              a % 3 == 0
+                  ? new Intent.SetLimits(workspace, a % 50, a % 7)
+                  : new Intent.TopUpBudget(workspace, 1 + a % 90);
+          send(new ControlCommand.CreatePlan("o" + operation, operator, intent, 0));
+        }
+        case 2 ->
+            send(new ControlCommand.ConfirmPlan("o" + operation, operator, plan(a / 20), step));
+        case 3 -> {
+          if (!sent.isEmpty()) {
+            send(sent.get(a / 20 % sent.size()));
+          }
+        }
+        default -> {
+          if (a % 3 == 0) {
+            send(new ControlCommand.DropPlan("o" + operation, operator, plan(a / 20), 0));
+          } else {
+            group.restart();
+          }
+        }
+      }
+      checkHistory("hulls");
+      checkHistory("kits");
+    }
+  }
+
+  private long plan(int a) {
+    return plans.isEmpty() ? 1 : plans.get(plans.size() - 1 - a % Math.min(4, plans.size()));
+  }
+
+  private void send(ControlCommand command) {
+    ControlReply reply = group.apply(command);
+    ControlReply first = answers.putIfAbsent(command, reply);
+    assertThat(reply).as("answer to %s", command).isEqualTo(first == null ? reply : first);
+    sent.add(command);
+    if (command instanceof ControlCommand.CreatePlan
+        && first == null
+        && reply instanceof ControlReply.Planned p) {
+      plans.add(p.plan().id());
+    }
+    if (reply instanceof ControlReply.Refused r) {
+      assertThat(r.kind())
+          .isIn(ErrorKind.PLAN_CONFLICT, ErrorKind.PLAN_CLOSED, ErrorKind.INVALID_PARAMETER);
+    }
+  }
+
+  private void checkHistory(String workspace) {
+    for (String object : List.of("budget/" + workspace, "workspace/" + workspace)) {
+      String state = null;
+      List<?> newest = (List<?>) group.state().query(new ControlQuery.Audit(object, 1_000));
+      for (int i = newest.size() - 1; i >= 0; i--) {
+        AuditEntry e = (AuditEntry) newest.get(i);
+        if (e.action().equals("confirm")) {
+          assertThat(state == null || e.before().equals(state))
+              .as("%s was changed from %s, but it was %s", object, e.before(), state)
+              .isTrue();
+          state = e.after();
+        }
+      }
+      if (state != null && object.startsWith("budget/")) {
+        assertThat(state).isEqualTo("{\"paidIn\":" + group.budget(workspace).paidIn() + "}");
+      }
+    }
+  }
+}
