Replay traces of membership, upstreams and configuration

Cause: the generated faults did not show a crossed configuration reply, input buffered by a freeze, a missing full exchange or a freeze during a suspicion, when these mechanisms were taken out. The faults of generated steps overlap. A check relayed from before the start of a router does not confirm its configuration. Probes and acknowledgements are checked to stay within 1,400 bytes.

--- a/core/src/main/java/org/goldcrestfall/core/config/ConfigFollower.java
+++ b/core/src/main/java/org/goldcrestfall/core/config/ConfigFollower.java
@@ -80,9 +80,9 @@
     return log.view();
   }
 
-  /** Returns whether the revision was checked at least once since the start. */
+  /** Returns whether the revision was checked at a time after the start. */
   public boolean confirmed() {
-    return confirmedAt() != NEVER;
+    return confirmedAt() >= startedAt;
   }
 
   /** Returns the time since the last check of the revision, or since the start without one. */
--- a/core/src/main/java/org/goldcrestfall/core/membership/Membership.java
+++ b/core/src/main/java/org/goldcrestfall/core/membership/Membership.java
@@ -8,6 +8,7 @@
 import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
@@ -37,8 +38,8 @@
   /** A longer gap between ticks means that this process was frozen. */
   static final long STALL_MILLIS = 1000;
 
-  /** Part of the 1,400 bytes of a message that membership changes may use. */
-  static final int MAX_GOSSIP_BYTES = 600;
+  /** Part of the 1,400 bytes of a message that membership records may use. */
+  static final int MAX_GOSSIP_BYTES = 650;
 
   private static final int LEAVE_MESSAGES = 5;
 
@@ -184,7 +185,7 @@
       Collections.shuffle(helpers, random);
       for (Member m : helpers.subList(0, Math.min(INDIRECT_PROBES, helpers.size()))) {
         probe.accepted.add(m.host());
-        Gossip g = compose(target.host(), false);
+        Gossip g = compose(m.host(), target.host(), false);
         effects.add(
             new MembershipEffect.Send(
                 m.address(), new PingRequest(probe.number, target.address(), g)));
@@ -264,7 +265,7 @@
     }
     String sender = g.self().host();
     if (message instanceof Ping p) {
-      Gossip gossip = compose(sender, g.full());
+      Gossip gossip = compose(sender, null, g.full());
       effects.add(new MembershipEffect.Reply(sender, new Ack(p.number(), true, gossip)));
     } else if (message instanceof PingRequest r) {
       Member target = table.atAddress(r.targetAddress());
@@ -302,42 +303,40 @@
 
   private MembershipEffect.Reply reply(
       String requester, long number, boolean reached, String target) {
-    Gossip g = compose(requester, false);
-    if (target != null && table.get(target) != null) {
-      List<Member> withTarget = new ArrayList<>(g.members());
-      withTarget.add(table.get(target));
-      g = new Gossip(g.self(), withTarget, false, g.digest());
-    }
+    Gossip g = compose(requester, target, false);
     return new MembershipEffect.Reply(requester, new Ack(number, reached, g));
   }
 
   private MembershipEffect.Send ping(String address, String host, boolean full) {
-    return new MembershipEffect.Send(address, new Ping(++lastNumber, compose(host, full)));
+    return new MembershipEffect.Send(address, new Ping(++lastNumber, compose(host, null, full)));
   }
 
   /**
    * Composes the gossip of a message. A receiver that is not alive here is told so first, so that
-   * it can refute.
+   * it can refute; {@code target} is a member that the message is about, or null.
    */
-  private Gossip compose(String receiver, boolean full) {
+  private Gossip compose(String receiver, String target, boolean full) {
     long digest = table.digest(self);
     if (full) {
       return new Gossip(self, List.copyOf(table.all()), true, digest);
     }
-    List<Member> members = new ArrayList<>();
-    int left = MAX_GOSSIP_BYTES;
+    Set<Member> members = new LinkedHashSet<>();
     Member r = receiver == null ? null : table.get(receiver);
     if (r != null && r.status() != Status.ALIVE) {
       members.add(r);
-      left -= r.encodedBytes();
     }
+    if (target != null && table.get(target) != null) {
+      members.add(table.get(target));
+    }
+    int left = MAX_GOSSIP_BYTES - self.encodedBytes();
+    left -= members.stream().mapToInt(Member::encodedBytes).sum();
     for (String host : queue.next(left, this::encodedBytes, table.live().size() + 1)) {
       Member m = table.get(host);
       if (m != null) {
         members.add(m);
       }
     }
-    return new Gossip(self, members, false, digest);
+    return new Gossip(self, List.copyOf(members), false, digest);
   }
 
   private int encodedBytes(String host) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/peer/Dissemination.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/peer/Dissemination.java
@@ -28,7 +28,7 @@
 final class Dissemination {
 
   /** Part of the 1,400 bytes of a message that upstreams may use. */
-  static final int MAX_GOSSIP_BYTES = 750;
+  static final int MAX_GOSSIP_BYTES = 650;
 
   static final long USAGE_INTERVAL_MILLIS = 2000;
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/peer/FakeFleet.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/peer/FakeFleet.java
@@ -46,14 +46,22 @@
   /** An upstream that announces itself every second until it leaves or vanishes. */
   final class Upstream {
     private final String name;
-    private final long ttlMillis = 1 + network.random.nextInt(5000);
+    private final long ttlMillis;
+    private final int router;
     private long sequence;
     private long nextAnnouncement;
     private long lastReadyAt = Long.MAX_VALUE;
     private boolean gone;
 
+    /** Creates an upstream that announces itself at any router. */
     Upstream(String name) {
+      this(name, 1 + network.random.nextInt(5000), -1);
+    }
+
+    Upstream(String name, long ttlMillis, int router) {
       this.name = name;
+      this.ttlMillis = ttlMillis;
+      this.router = router;
     }
 
     void announce(int router, State state) {
@@ -93,7 +101,7 @@
       long now = network.clock.nowMillis();
       if (!gone && now >= nextAnnouncement) {
         nextAnnouncement = now + 1000;
-        announce(network.random.nextInt(size), State.READY);
+        announce(router >= 0 ? router : network.random.nextInt(size), State.READY);
       }
     }
 
@@ -279,6 +287,7 @@
   }
 
   void expectAgreement() {
+    assertThat(network.largestProbe).as("bytes of a probe").isLessThanOrEqualTo(1400);
     for (int i = 0; i < size; i++) {
       if (up(i)) {
         assertThat(liveBy(i)).as("live members at %s", i).isEqualTo(running());
--- a/daemon/src/test/java/org/goldcrestfall/daemon/peer/FakeNetwork.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/peer/FakeNetwork.java
@@ -40,6 +40,9 @@
   int doubledPerMille;
   int crossedPerMille;
 
+  /** Bytes of the largest probe or acknowledgement that was no full exchange. */
+  int largestProbe;
+
   private record Event(long at, long order, Runnable action) {}
 
   FakeNetwork(long seed) {
@@ -195,6 +198,13 @@
       deliver(this, to, p -> p.receive(incarnation, body));
     }
 
+    private void checkSize(Body body) {
+      boolean probe = body.hasPing() || body.hasPingRequest() || body.hasAck();
+      if (probe && !MembershipCodec.carried(body).getFull()) {
+        largestProbe = Math.max(largestProbe, body.getSerializedSize());
+      }
+    }
+
     private CompletableFuture<Body> receive(Incarnation sender, Body body) {
       Handler h = handlers.get(body.getKindCase());
       return h == null ? new CompletableFuture<>() : h.handle(sender, body);
@@ -204,6 +214,7 @@
     public CompletableFuture<Body> call(String to, Body body, long timeoutMillis) {
       CompletableFuture<Body> result = new CompletableFuture<>();
       long id = ++lastCall;
+      checkSize(body);
       calls.put(id, result);
       if (linked(address, to) && !running.containsKey(to)) {
         after(2, () -> execute(() -> fail(id, new ConnectException("refused"))));
@@ -221,6 +232,7 @@
     }
 
     private void deliverReply(String to, Process caller, long id, Body reply) {
+      checkSize(reply);
       deliver(
           this,
           to,
--- a/daemon/src/test/java/org/goldcrestfall/daemon/peer/FleetPropertyTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/peer/FleetPropertyTest.java
@@ -41,7 +41,7 @@
           f.kill(i);
           f.start(i);
         }
-        case FREEZE -> f.freeze(i, millis);
+        case FREEZE -> f.freeze(i, 2L * millis);
         case PARTITION -> f.partition(b);
         case HEAL -> f.heal();
         case SLOW_LINK -> f.network.setDelay(f.address(i), f.address(b % SIZE), millis);
@@ -51,7 +51,8 @@
         case VANISH -> f.upstreams.get(b % 2).vanish();
         default -> {}
       }
-      f.run(millis);
+      // The faults of several steps overlap.
+      f.run(millis / 3);
     }
   }
 
@@ -65,7 +66,7 @@
         .as(Step::new)
         .list()
         .ofMinSize(1)
-        .ofMaxSize(14);
+        .ofMaxSize(20);
   }
 
   private static FakeFleet fleet(long seed) {
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/peer/TraceReplayTest.java
@@ -0,0 +1,130 @@
+package org.goldcrestfall.daemon.peer;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import com.google.common.base.Splitter;
+import com.google.common.io.Resources;
+import java.io.IOException;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.goldcrestfall.core.membership.Member;
+
+/** Replays the trace files; the comment at the top of each states what it guards against. */
+class TraceReplayTest {
+
+  private FakeFleet fleet;
+  private final Map<String, FakeFleet.Upstream> upstreams = new HashMap<>();
+  private long latest;
+  private long lastSuspicionAt;
+
+  @Provide
+  Arbitrary<String> traces() {
+    return Arbitraries.of(
+        "leaving-while-cut-off",
+        "late-announcement",
+        "freeze-hides-leaving",
+        "stale-control",
+        "router-reaches-one-router",
+        "long-partition-heals",
+        "one-slow-link",
+        "killed-and-replaced");
+  }
+
+  @Property
+  void traceEndsAsStated(@ForAll("traces") String name) throws IOException {
+    String text =
+        Resources.toString(Resources.getResource("traces/peer/" + name + ".trace"), UTF_8);
+    for (String line : Splitter.on('\n').omitEmptyStrings().split(text)) {
+      if (!line.startsWith("#")) {
+        execute(name + ": " + line, Splitter.on(' ').splitToList(line));
+      }
+    }
+  }
+
+  private void execute(String line, List<String> w) {
+    switch (w.get(0)) {
+      case "fleet" -> start(number(w, 1), number(w, 3));
+      case "upstream" -> {
+        int router = w.size() > 4 ? number(w, 5) : -1;
+        var u = fleet.new Upstream(w.get(1), number(w, 3), router);
+        upstreams.put(w.get(1), u);
+        fleet.upstreams.add(u);
+      }
+      case "run" -> fleet.run(number(w, 1));
+      case "partition" -> fleet.partition(number(w, 1));
+      case "cut" -> fleet.network.setCut(address(w, 1), address(w, 2), true);
+      case "delay" -> fleet.network.setDelay(address(w, 1), address(w, 2), number(w, 3));
+      case "heal" -> fleet.heal();
+      case "freeze" -> fleet.freeze(number(w, 1), number(w, 2));
+      case "kill" -> fleet.kill(number(w, 1));
+      case "start" -> fleet.start(number(w, 1));
+      case "isolate" -> fleet.isolated[number(w, 1)] = true;
+      case "commit" -> latest = fleet.commit();
+      case "leave" -> upstreams.get(w.get(1)).leave(number(w, 3));
+      case "vanish" -> upstreams.get(w.get(1)).vanish();
+      case "expect" -> expect(line, w.subList(1, w.size()));
+      default -> throw new AssertionError("unknown: " + line);
+    }
+  }
+
+  private void start(int size, long seed) {
+    fleet = new FakeFleet(size, seed);
+    latest = 0;
+    lastSuspicionAt = 0;
+    for (PeerService s : fleet.services) {
+      s.addListener(
+          new PeerListener() {
+            @Override
+            public void memberChanged(Member m) {
+              if (m.status() != Member.Status.ALIVE) {
+                lastSuspicionAt = fleet.network.clock.nowMillis();
+              }
+            }
+          });
+    }
+  }
+
+  private void expect(String line, List<String> w) {
+    if (w.get(0).equals("agreement")) {
+      fleet.expectAgreement();
+      return;
+    }
+    if (w.get(0).equals("no-suspicion")) {
+      long quiet = fleet.network.clock.nowMillis() - lastSuspicionAt;
+      assertThat(quiet).as(line).isGreaterThan(number(w, 1));
+      return;
+    }
+    boolean upstream = w.get(0).endsWith("routed");
+    int router = number(w, upstream ? 2 : 1);
+    PeerService s = fleet.services[router];
+    switch (w.get(0)) {
+      case "routed" -> assertThat(upstreams.get(w.get(1)).routedBy(router)).as(line).isTrue();
+      case "not-routed" -> assertThat(upstreams.get(w.get(1)).routedBy(router)).as(line).isFalse();
+      case "revision" -> assertThat(s.configView().revision()).as(line).isEqualTo(latest);
+      case "checked" -> assertThat(s.configAgeMillis()).as(line).isLessThan(number(w, 2));
+      case "unchecked" -> assertThat(s.configAgeMillis()).as(line).isGreaterThan(number(w, 2));
+      case "unconfirmed" -> assertThat(s.configConfirmed()).as(line).isFalse();
+      case "live" ->
+          assertThat(fleet.liveBy(router))
+              .as(line)
+              .isEqualTo(new HashSet<>(w.subList(2, w.size())));
+      default -> throw new AssertionError("unknown: " + line);
+    }
+  }
+
+  private static int number(List<String> words, int i) {
+    return Integer.parseInt(words.get(i));
+  }
+
+  private String address(List<String> words, int i) {
+    return fleet.address(number(words, i));
+  }
+}
