--- a/daemon/src/test/java/org/goldcrestfall/daemon/peer/FleetPropertyTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/peer/FleetPropertyTest.java
@@ -190,17 +190,38 @@
     for (Step s : steps) {
       s.apply(f);
       for (int t = 0; t < 20; t++) {
-        long before = f.network.clock.nowMillis();
-        long accepted = f.commit();
-        f.run(200);
-        for (int i = 0; i < SIZE; i++) {
-          PeerService service = f.services[i];
-          long checkedAt = f.network.clock.nowMillis() - service.configAgeMillis();
-          if (f.up(i) && service.configConfirmed() && checkedAt > before) {
-            assertThat(service.configView().revision()).isGreaterThanOrEqualTo(accepted);
-          }
-        }
+        commitAndExpectTrueChecks(f);
+      }
+    }
+  }
+
+  private static void commitAndExpectTrueChecks(FakeFleet f) {
+    long before = f.network.clock.nowMillis();
+    long accepted = f.commit();
+    f.run(200);
+    for (int i = 0; i < SIZE; i++) {
+      PeerService service = f.services[i];
+      long checkedAt = f.network.clock.nowMillis() - service.configAgeMillis();
+      if (f.up(i) && service.configConfirmed() && checkedAt > before) {
+        assertThat(service.configView().revision()).isGreaterThanOrEqualTo(accepted);
       }
     }
   }
+
+  // Guards against a reply of a stale control member that counts as the answer of another one.
+  @Property(tries = 40, seed = "17")
+  void crossedReplyOfStaleControlMemberIsNoCheck(@ForAll long seed) {
+    FakeFleet f = fleet(seed);
+    f.run(5000);
+    f.isolated[0] = true;
+    for (int i = 1; i < SIZE; i++) {
+      f.network.setCut(f.address(0), f.address(i), i != SIZE - 1);
+      f.network.setDelay(f.address(SIZE - 1), f.address(i), 300);
+    }
+    f.network.setDelay(f.address(SIZE - 1), f.address(0), 300);
+    f.network.crossedPerMille = 400;
+    for (int t = 0; t < 100; t++) {
+      commitAndExpectTrueChecks(f);
+    }
+  }
 }
--- a/wire/src/main/java/org/goldcrestfall/wire/FrameCodec.java
+++ b/wire/src/main/java/org/goldcrestfall/wire/FrameCodec.java
@@ -24,6 +24,10 @@
 
   static final int VERSION = 1;
   static final int MAX_FRAME_BYTES = 4 * 1024 * 1024;
+
+  /** Leaves room for the other fields of the envelope. */
+  static final int MAX_BODY_BYTES = MAX_FRAME_BYTES - 1024;
+
   static final int MAX_HANDSHAKE_BYTES = 1024;
   private static final int LENGTH_BYTES = 4;
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
--- a/wire/src/main/java/org/goldcrestfall/wire/InboundHandler.java
+++ b/wire/src/main/java/org/goldcrestfall/wire/InboundHandler.java
@@ -67,7 +67,7 @@
     long callId = envelope.getCallId();
     CompletableFuture<Body> result = dispatch(sender, body);
     if (callId != 0) {
-      result.whenComplete((b, e) -> reply(c, callId, toReply(b, e).toByteString()));
+      result.whenComplete((b, e) -> reply(c, callId, bounded(toReply(b, e)).toByteString()));
     }
   }
 
@@ -104,6 +104,14 @@
     return Body.newBuilder().setFailure(failure).build();
   }
 
+  /** A reply that does not fit into a frame must not look like a lost one. */
+  private static Body bounded(Body reply) {
+    int size = reply.getSerializedSize();
+    return size <= FrameCodec.MAX_BODY_BYTES
+        ? reply
+        : toReply(null, new RemoteFailure("reply_too_long", "reply of " + size + " bytes"));
+  }
+
   private void reply(ChannelHandlerContext c, long callId, ByteString body) {
     Envelope.Builder envelope = FrameCodec.envelope(body);
     envelope.setSenderHost(host).setSenderBoot(boot.getAsLong());
--- a/wire/src/main/java/org/goldcrestfall/wire/NettyPeerTransport.java
+++ b/wire/src/main/java/org/goldcrestfall/wire/NettyPeerTransport.java
@@ -43,9 +43,6 @@
   private static final WriteBufferWaterMark WATER_MARK =
       new WriteBufferWaterMark(1024 * 1024, FrameCodec.MAX_FRAME_BYTES);
 
-  /** Room for the other fields of an envelope of full length. */
-  private static final int MAX_BODY_BYTES = FrameCodec.MAX_FRAME_BYTES - 1024;
-
   private final PeerSettings settings;
   private final TransportListener listener;
   private final EventLoopGroup group =
@@ -92,7 +89,7 @@
   @Override
   public void send(String address, Body body) {
     ByteString bytes = body.toByteString();
-    if (closed || bytes.size() > MAX_BODY_BYTES) {
+    if (closed || bytes.size() > FrameCodec.MAX_BODY_BYTES) {
       listener.dropped(address);
       return;
     }
@@ -110,7 +107,7 @@
     if (closed) {
       return CompletableFuture.failedFuture(new ConnectException("transport is closed"));
     }
-    if (bytes.size() > MAX_BODY_BYTES) {
+    if (bytes.size() > FrameCodec.MAX_BODY_BYTES) {
       return CompletableFuture.failedFuture(
           new ConnectException("message is too long to be sent: " + bytes.size() + " bytes"));
     }
--- a/wire/src/test/java/org/goldcrestfall/wire/NettyPeerTransportTest.java
+++ b/wire/src/test/java/org/goldcrestfall/wire/NettyPeerTransportTest.java
@@ -213,12 +213,18 @@
     throw new AssertionError("no connection after the restart");
   }
 
-  // Guards against silent truncation of a message over the frame limit.
+  // Guards against a message or reply over the frame limit that is lost without a trace.
   @Example
   void tooLongMessageIsNotSent() throws Exception {
     var chunk = ConfigReply.newBuilder().setView(ByteString.copyFrom(new byte[5 << 20]));
-    var call = open("a").call("127.0.0.1:1", Body.newBuilder().setConfigReply(chunk).build(), 1000);
-    assertThat(failure(call)).isInstanceOf(ConnectException.class);
+    Body large = Body.newBuilder().setConfigReply(chunk).build();
+    NettyPeerTransport a = open("a");
+    assertThat(failure(a.call("127.0.0.1:1", large, 1000))).isInstanceOf(ConnectException.class);
+    NettyPeerTransport b = open("b");
+    b.handle(Body.KindCase.CONFIG_REQUEST, (s, m) -> CompletableFuture.completedFuture(large));
+    assertThat(failure(a.call(b.address(), request(1), PATIENCE_MILLIS)))
+        .isInstanceOfSatisfying(
+            RemoteFailure.class, f -> assertThat(f.kind()).isEqualTo("reply_too_long"));
   }
 
   // Guards against a key that is short enough to be guessed.
