--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/package-info.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/bench/package-info.java
@@ -1,2 +1,2 @@
-/** Benchmarks of daemon parts, run by {@code scripts/bench}. */
+/** Benchmarks of the daemon's parts; run by {@code scripts/bench NAME}. */
 package org.goldcrestfall.daemon.bench;
