--- a/core/src/main/java/org/goldcrestfall/core/admission/SlotTimes.java
+++ b/core/src/main/java/org/goldcrestfall/core/admission/SlotTimes.java
@@ -31,10 +31,15 @@
         (o, n) -> new Times(quantile(o.lead, n.lead), average(o.hold, n.hold)));
   }
 
-  /** Returns the expected time from dispatch to the first token. */
-  public long leadMillis(String patienceClass) {
+  /**
+   * Returns the expected time from dispatch to the first token, at most half of {@code
+   * deadlineMillis}, the deadline of the class. The cap keeps requests running that can start at
+   * once, so that the estimate can fall again after a disturbance.
+   */
+  public long leadMillis(String patienceClass, long deadlineMillis) {
     Times t = classes.get(patienceClass);
-    return t == null ? DEFAULT_LEAD_MILLIS : (long) Math.ceil(t.lead);
+    long lead = t == null ? DEFAULT_LEAD_MILLIS : (long) Math.ceil(t.lead);
+    return Math.min(lead, deadlineMillis / 2);
   }
 
   /** Returns the expected time from dispatch to the end, at least 1. */
--- /dev/null
+++ b/core/src/test/java/org/goldcrestfall/core/admission/SlotTimesTest.java
@@ -0,0 +1,21 @@
+package org.goldcrestfall.core.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import net.jqwik.api.Example;
+
+/** Guards admission against estimates that refuse everything and then never change. */
+final class SlotTimesTest {
+
+  @Example
+  void leadLeavesTimeToTryAndIgnoresQueueing() {
+    SlotTimes times = new SlotTimes();
+    for (int i = 0; i < 1_000; i++) {
+      times.onCompletion("quick", 100 + (i % 2) * 5_000, 1_000);
+      times.onCompletion("slow", 9_000, 20_000);
+    }
+    assertThat(times.leadMillis("quick", 2_000)).isBetween(50L, 300L);
+    assertThat(times.holdMillis("slow")).isEqualTo(20_000);
+    assertThat(times.leadMillis("slow", 2_000)).isEqualTo(1_000);
+  }
+}
--- a/standin/src/main/java/org/goldcrestfall/standin/bench/FleetRun.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/bench/FleetRun.java
@@ -6,7 +6,6 @@
 import org.apache.commons.rng.UniformRandomProvider;
 import org.apache.commons.rng.simple.RandomSource;
 import org.goldcrestfall.core.routing.CacheEvent;
-import org.goldcrestfall.core.routing.RandomPolicy;
 import org.goldcrestfall.core.routing.Router;
 import org.goldcrestfall.core.routing.RouterSettings;
 import org.goldcrestfall.core.routing.RoutingPolicy;
@@ -44,11 +43,11 @@
 
   /**
    * Returns the capacity in requests a second: the rate of first tokens of saturated engines that
-   * ignore priorities, so that the mix of classes is that of the trace, under random routing.
+   * ignore priorities, so that the mix of classes is that of the trace.
    */
-  static double capacity(BenchOptions options) {
+  static double capacity(BenchOptions options, Supplier<RoutingPolicy> policy) {
     List<BenchRequest> trace = options.trace(100);
-    Measurements m = new FleetRun(options).simulate(trace, RandomPolicy::new, false, false);
+    Measurements m = new FleetRun(options).simulate(trace, policy, false, false);
     return m.firstTokens * 1_000.0 / (options.millis() - options.warmUpMillis());
   }
 
--- a/standin/src/main/java/org/goldcrestfall/standin/bench/PatienceBench.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/bench/PatienceBench.java
@@ -22,20 +22,24 @@
     if (options == null) {
       return;
     }
-    double capacity = FleetRun.capacity(options);
+    Map<String, Supplier<RoutingPolicy>> policies = RoutingBench.policies();
+    double capacity = FleetRun.capacity(options, policies.get("random"));
+    // The oracle also knows all caches, so it has the larger capacity of the scored policy.
+    double oracleCapacity = FleetRun.capacity(options, policies.get("scored"));
     System.out.printf(
-        "seed %d, %d routers, %d engines, capacity %.1f requests/s%n",
-        options.seed, options.routers, options.engines, capacity);
+        "seed %d, %d routers, %d engines, capacity %.1f requests/s, of the oracle %.1f%n",
+        options.seed, options.routers, options.engines, capacity, oracleCapacity);
     System.out.printf(
         "%-5s %-8s %-16s %7s %7s %7s %6s %8s %7s %7s %7s%n",
         "load", "class", "policy", "p50", "p95", "p99", "p99/r", "refused", "oracle", "false",
         "late");
     for (double load : options.loads) {
       List<BenchRequest> trace = options.trace(load * capacity);
-      Set<String> served = Oracle.served(trace, options.engines * EngineModel.SLOTS, capacity);
+      Set<String> served =
+          Oracle.served(trace, options.engines * EngineModel.SLOTS, oracleCapacity);
       Map<String, Measurements> runs = new LinkedHashMap<>();
       for (String name : List.of("random", "least-load", "scored")) {
-        Supplier<RoutingPolicy> policy = RoutingBench.policies().get(name);
+        Supplier<RoutingPolicy> policy = policies.get(name);
         runs.put(name, FleetRun.run(options, trace, policy, true));
       }
       for (BenchClass c : BenchClass.values()) {
--- a/standin/src/main/java/org/goldcrestfall/standin/bench/RouterModel.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/bench/RouterModel.java
@@ -57,7 +57,7 @@
             c.pricePerMille,
             c.priority,
             request.deadlineMillis(),
-            times.leadMillis(c.name()),
+            times.leadMillis(c.name(), c.deadlineMillis),
             times.holdMillis(c.name()),
             4L * request.promptTokens());
     waiting.put(request.id(), request);
--- a/standin/src/main/java/org/goldcrestfall/standin/bench/RoutingBench.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/bench/RoutingBench.java
@@ -27,7 +27,7 @@
     if (options == null) {
       return;
     }
-    double capacity = FleetRun.capacity(options);
+    double capacity = FleetRun.capacity(options, RandomPolicy::new);
     System.out.printf(
         "seed %d, %d routers, %d engines, capacity %.1f requests/s%n",
         options.seed, options.routers, options.engines, capacity);
