--- /dev/null
+++ b/standin/src/main/java/org/goldcrestfall/standin/engine/PrefixCache.java
@@ -0,0 +1,84 @@
+package org.goldcrestfall.standin.engine;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.Iterator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.routing.PrefixHasher;
+
+/**
+ * A cache of prompt blocks in limited memory; the least recently used block is evicted first.
+ * Blocks are identified by {@link PrefixHasher}. The events are published late, and a share of them
+ * is never published.
+ */
+final class PrefixCache {
+
+  /** A stored or evicted block. */
+  record Event(long sequence, String prefix, boolean stored) {}
+
+  private record LateEvent(long dueMillis, Event event) {}
+
+  private final MillisClock clock;
+  private final int capacityBlocks;
+  private final long delayMillis;
+  private final double gapShare;
+  private final UniformRandomProvider random;
+  private final LinkedHashMap<Long, Boolean> entries = new LinkedHashMap<>(16, 0.75f, true);
+  private final Deque<LateEvent> unpublished = new ArrayDeque<>();
+  private long sequence;
+
+  PrefixCache(MillisClock clock, int capacityTokens, long delayMillis, double gapShare, long seed) {
+    this.clock = clock;
+    this.capacityBlocks = capacityTokens / PrefixHasher.BLOCK_TOKENS;
+    this.delayMillis = delayMillis;
+    this.gapShare = gapShare;
+    this.random = RandomSource.SPLIT_MIX_64.create(seed);
+  }
+
+  /** Returns the tokens of the longest cached prefix, then stores all blocks of the prompt. */
+  synchronized int use(String model, String prompt) {
+    int cachedBlocks = 0;
+    boolean hit = true;
+    for (long hash : PrefixHasher.hash(model, prompt)) {
+      hit = hit && entries.containsKey(hash);
+      cachedBlocks += hit ? 1 : 0;
+      store(hash);
+    }
+    return cachedBlocks * PrefixHasher.BLOCK_TOKENS;
+  }
+
+  /** Removes and returns up to {@code limit} events whose delay has passed. */
+  synchronized List<Event> takeEvents(int limit) {
+    List<Event> events = new ArrayList<>();
+    while (events.size() < limit
+        && !unpublished.isEmpty()
+        && unpublished.peekFirst().dueMillis() <= clock.nowMillis()) {
+      events.add(unpublished.pollFirst().event());
+    }
+    return events;
+  }
+
+  private void store(long hash) {
+    if (entries.put(hash, true) != null) {
+      return;
+    }
+    publish(hash, true);
+    if (entries.size() > capacityBlocks) {
+      Iterator<Long> oldest = entries.keySet().iterator();
+      publish(oldest.next(), false);
+      oldest.remove();
+    }
+  }
+
+  private void publish(long hash, boolean stored) {
+    Event event = new Event(++sequence, PrefixHasher.format(hash), stored);
+    if (random.nextDouble() >= gapShare) {
+      unpublished.add(new LateEvent(clock.nowMillis() + delayMillis, event));
+    }
+  }
+}
