Let every router borrow one slot while at least three are free

An equal part of the free slots is less than one slot when many routers share few engines, so slots stayed free while requests were refused.

--- a/core/src/main/java/org/goldcrestfall/core/admission/CapacityEstimator.java
+++ b/core/src/main/java/org/goldcrestfall/core/admission/CapacityEstimator.java
@@ -13,6 +13,12 @@
  */
 public final class CapacityEstimator {
 
+  /**
+   * Free slots from which on every router may use one more. An equal part alone is less than one
+   * slot for many routers, and slots would stay free while requests are refused.
+   */
+  private static final double FREE_FOR_ONE = 3;
+
   private CapacityEstimator() {}
 
   /**
@@ -34,6 +40,7 @@
       free += Math.max(0, c.slots() - load.outstanding(c, nowMillis));
       own += load.own(c.name());
     }
-    return Math.max(slots / routers, own + free / routers);
+    double borrowed = Math.max(free / routers, free >= FREE_FOR_ONE ? 1 : 0);
+    return Math.max(slots / routers, own + borrowed);
   }
 }
