--- a/standin/src/main/java/org/goldcrestfall/standin/load/LoadReport.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/load/LoadReport.java
@@ -33,9 +33,13 @@
       @JsonProperty("total_p50_millis") double totalP50,
       @JsonProperty("total_p99_millis") double totalP99) {}
 
-  /** Returns whether nothing was lost, doubled, wrong or billed in another way than once. */
+  /**
+   * Returns whether nothing was lost, doubled, wrong, billed twice or billed wrong. An answer
+   * without a record does not count: the record may have died with its router, whose tokens are
+   * stranded.
+   */
   boolean isClean() {
-    return lost + wrong + doubled + refusedButRan + billedTwice + billedWrong + unbilled == 0;
+    return lost + wrong + doubled + refusedButRan + billedTwice + billedWrong == 0;
   }
 
   void print(PrintStream out) {
