Raise the watermark ahead of use and for transfers

The daemon wrote the next watermark only after a reservation had failed for it, so a request waited for the disk at each block, and an idle router with a disk never raised it for a transfer that a peer asked for. Every reservation now triggers the writer, which does nothing where nothing has to be raised, and a transfer that the watermark does not cover triggers it too; the peer asks again.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CompletionStage;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
+import java.util.function.Predicate;
 import org.goldcrestfall.core.budget.AllotmentLedger;
 import org.goldcrestfall.core.budget.AllotmentTotals;
 import org.goldcrestfall.core.budget.GrantPolicy;
@@ -85,6 +86,11 @@
     watermarkPending = action;
   }
 
+  /** Writes the watermark soon if it has to be raised. */
+  public void raiseWatermark() {
+    watermarkPending.run();
+  }
+
   /** Returns the router incarnation. */
   public Incarnation self() {
     return ledger.self();
@@ -107,9 +113,8 @@
         queue.add(new Waiter(r, future, now));
       }
     }
-    if (!future.isDone()) {
-      watermarkPending.run();
-    }
+    // Also after a success, because the watermark is raised before the use comes up to it.
+    watermarkPending.run();
     askForGrant(workspace);
     return future;
   }
@@ -224,48 +229,33 @@
 
   /** Serves waiting requests from what has become available. */
   public void serveWaiters(String workspace) {
-    List<Waiter> served = new ArrayList<>();
-    synchronized (this) {
-      List<Waiter> queue = waiters.get(workspace);
-      if (queue == null) {
-        return;
-      }
-      for (Waiter w : queue) {
-        if (ledger.reserve(workspace, w.reservation().tokens()) == Reservation.RESERVED) {
-          served.add(w);
-        }
-      }
-      queue.removeAll(served);
-      if (queue.isEmpty()) {
-        waiters.remove(workspace);
-      }
-    }
+    List<Waiter> served =
+        takeWaiters(
+            workspace,
+            w -> ledger.reserve(workspace, w.reservation().tokens()) == Reservation.RESERVED);
     served.forEach(w -> w.future().complete(w.reservation()));
   }
 
   private void expireWaiters(String workspace) {
-    List<Waiter> expired = new ArrayList<>();
-    synchronized (this) {
-      List<Waiter> queue = waiters.get(workspace);
-      if (queue == null) {
-        return;
-      }
-      long now = clock.nowMillis();
-      for (Waiter w : queue) {
-        if (now - w.sinceMillis() >= RESERVE_WAIT_MILLIS) {
-          expired.add(w);
-        }
-      }
-      queue.removeAll(expired);
-      if (queue.isEmpty()) {
-        waiters.remove(workspace);
-      }
-    }
-    for (Waiter w : expired) {
+    long since = clock.nowMillis() - RESERVE_WAIT_MILLIS;
+    for (Waiter w : takeWaiters(workspace, x -> x.sinceMillis() <= since)) {
       w.future().completeExceptionally(refusal(workspace, w));
     }
   }
 
+  private synchronized List<Waiter> takeWaiters(String workspace, Predicate<Waiter> condition) {
+    List<Waiter> queue = waiters.get(workspace);
+    if (queue == null) {
+      return List.of();
+    }
+    List<Waiter> taken = queue.stream().filter(condition).toList();
+    queue.removeAll(taken);
+    if (queue.isEmpty()) {
+      waiters.remove(workspace);
+    }
+    return taken;
+  }
+
   private long lacking(String workspace) {
     long sum = 0;
     for (Waiter w : waiters.getOrDefault(workspace, List.of())) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/TransferService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/TransferService.java
@@ -185,6 +185,10 @@
         sender.boot() == 0
             ? Optional.empty()
             : budgets.withLedger(l -> transfers.give(r.getWorkspace(), gift, sender));
+    if (t.isEmpty() && gift > 0) {
+      // The watermark does not cover the transfer yet; the peer asks again.
+      budgets.raiseWatermark();
+    }
     t.ifPresent(
         x ->
             logger.atInfo().log(
