--- a/daemon/src/main/java/org/goldcrestfall/daemon/storage/DataFolder.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/storage/DataFolder.java
@@ -63,7 +63,7 @@
     HardState hardState =
         SmallFile.read(disk, VOTE).map(DataFolder::parseVote).orElse(HardState.INITIAL);
     Snapshot snapshot = newestSnapshot();
-    List<Entry> entries = log.load();
+    List<Entry> entries = log.load(snapshot.lastIndex());
     if (entries.isEmpty()) {
       if (log.lastIndex() < snapshot.lastIndex()) {
         log.reset(snapshot.lastIndex());
@@ -178,7 +178,7 @@
     SmallFile.write(disk, name, bytes.array());
     for (String other : disk.list()) {
       if (other.startsWith(SNAPSHOT_PREFIX) && other.compareTo(name) < 0) {
-        disk.delete(other);
+        disk.deleteLater(other);
       }
     }
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/storage/Disk.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/storage/Disk.java
@@ -23,6 +23,12 @@
   /** Deletes a file if it is there. */
   void delete(String name) throws IOException;
 
+  /**
+   * Deletes a file at some later time, or not at all if the process ends. Does not wait, because a
+   * file system under load can take seconds to free the space of a file.
+   */
+  void deleteLater(String name);
+
   /** Makes creations, renames and deletions durable. */
   void syncFolder() throws IOException;
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/storage/FolderDisk.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/storage/FolderDisk.java
@@ -4,6 +4,7 @@
 import static java.nio.file.StandardOpenOption.READ;
 import static java.nio.file.StandardOpenOption.WRITE;
 
+import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
@@ -13,14 +14,27 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
 /** A folder of the file system, locked against a second process. */
 public final class FolderDisk implements Disk {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final String LOCK = "lock";
 
+  private static final long CLOSE_SECONDS = 5;
+
   private final Path folder;
+  private final ExecutorService deletions =
+      Executors.newSingleThreadExecutor(
+          r -> {
+            Thread thread = new Thread(r, "disk-deletions");
+            thread.setDaemon(true);
+            return thread;
+          });
   private final FileChannel lock;
 
   /**
@@ -79,6 +93,18 @@
     Files.deleteIfExists(folder.resolve(name));
   }
 
+  @Override
+  public void deleteLater(String name) {
+    deletions.execute(
+        () -> {
+          try {
+            delete(name);
+          } catch (IOException e) {
+            logger.atWarning().log("storage: %s was not deleted: %s", name, e.getMessage());
+          }
+        });
+  }
+
   @Override
   public void syncFolder() throws IOException {
     try (FileChannel channel = FileChannel.open(folder, READ)) {
@@ -88,6 +114,13 @@
 
   @Override
   public void close() throws IOException {
+    deletions.shutdownNow();
+    try {
+      // The next process must not see files vanish while it reads the folder.
+      deletions.awaitTermination(CLOSE_SECONDS, TimeUnit.SECONDS);
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
     lock.close();
   }
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/storage/SegmentedLog.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/storage/SegmentedLog.java
@@ -33,16 +33,18 @@
   }
 
   /**
-   * Reads all segments and cuts off a torn tail.
+   * Reads all segments and cuts off a torn tail. Segments that hold nothing after {@code covered}
+   * were to be deleted and are left out.
    *
    * @throws DamagedLogException if bytes are unreadable that had been synced
    */
-  List<Entry> load() throws IOException {
+  List<Entry> load(long covered) throws IOException {
     for (String name : disk.list()) {
       if (name.startsWith(PREFIX)) {
         segments.add(Long.parseLong(name.substring(PREFIX.length())));
       }
     }
+    deleteThrough(covered);
     List<Entry> entries = new ArrayList<>();
     for (int i = 0; i < segments.size(); i++) {
       long first = segments.get(i);
@@ -188,16 +190,11 @@
     dirty = false;
   }
 
-  /** Deletes the segments that hold nothing after an index. */
-  void deleteThrough(long index) throws IOException {
-    boolean deleted = false;
+  /** Deletes the segments that hold nothing after an index, at some later time. */
+  void deleteThrough(long index) {
     while (segments.size() > 1 && segments.get(1) <= index + 1) {
-      disk.delete(name(segments.get(0)));
+      disk.deleteLater(name(segments.get(0)));
       segments.remove(0);
-      deleted = true;
-    }
-    if (deleted) {
-      disk.syncFolder();
     }
   }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/storage/FakeDisk.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/storage/FakeDisk.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
@@ -9,7 +10,8 @@
 
 /**
  * A disk in memory that keeps apart what was written and what is durable. A crash keeps what was
- * synced, and of the rest any part in blocks; writes and syncs can be made to fail.
+ * synced, and of the rest any part in blocks; writes and syncs can be made to fail. A file that is
+ * to be deleted later stays until a crash, which takes it or not.
  */
 public final class FakeDisk implements Disk {
 
@@ -20,6 +22,7 @@
     private byte[] durable = new byte[0];
   }
 
+  private final List<String> doomed = new ArrayList<>();
   private final TreeMap<String, Content> files = new TreeMap<>();
   private TreeMap<String, Content> durableFiles = new TreeMap<>();
   private long capacity = Long.MAX_VALUE;
@@ -63,6 +66,8 @@
     }
     files.clear();
     files.putAll(durableFiles);
+    doomed.stream().filter(n -> random.nextBoolean()).forEach(files::remove);
+    doomed.clear();
   }
 
   /** Inverts a byte of a file, durably. */
@@ -97,6 +102,11 @@
     files.remove(name);
   }
 
+  @Override
+  public synchronized void deleteLater(String name) {
+    doomed.add(name);
+  }
+
   @Override
   public synchronized void syncFolder() {
     durableFiles = new TreeMap<>(files);
