--- a/daemon/src/main/java/org/goldcrestfall/daemon/storage/DataFolder.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/storage/DataFolder.java
@@ -63,7 +63,7 @@
     HardState hardState =
         SmallFile.read(disk, VOTE).map(DataFolder::parseVote).orElse(HardState.INITIAL);
     Snapshot snapshot = newestSnapshot();
-    List<Entry> entries = log.load();
+    List<Entry> entries = log.load(snapshot.lastIndex());
     if (entries.isEmpty()) {
       if (log.lastIndex() < snapshot.lastIndex()) {
         log.reset(snapshot.lastIndex());
@@ -177,8 +177,8 @@
     String name = SNAPSHOT_PREFIX + "%020d".formatted(snapshot.lastIndex());
     SmallFile.write(disk, name, bytes.array());
     for (String other : disk.list()) {
-      if (other.startsWith(SNAPSHOT_PREFIX) && !other.equals(name)) {
-        disk.delete(other);
+      if (other.startsWith(SNAPSHOT_PREFIX) && other.compareTo(name) < 0) {
+        disk.deleteLater(other);
       }
     }
   }
