Report a booking as not run whose incarnation was closed before it was sent

The ledger records the outcome NOT_RUN of an attempt that was started and closed before its reply arrived, but the daemon never sent that outcome, so the booking stayed unknown and charged. It is now submitted like any other outcome.

All tests of core, wire and daemon pass.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BookingService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BookingService.java
@@ -124,12 +124,24 @@
                 return;
               }
               BookingLedger.Decision d = budgets.withLedger(l -> bookings.started(c.attempt(), r));
+              if (d == BookingLedger.Decision.ANSWER) {
+                finishUnsent(c.attempt());
+              }
               if (!answered.complete(new Started(c.attempt(), d, r))) {
                 abandon(c, d);
               }
             });
   }
 
+  /** Reports an attempt as not run whose incarnation was closed before it could be sent. */
+  private void finishUnsent(long attempt) {
+    for (ControlCommand.FinishBooking f : budgets.withLedger(l -> bookings.unfinished())) {
+      if (f.attempt() == attempt) {
+        submitFinish(f, new CompletableFuture<>());
+      }
+    }
+  }
+
   private void abandon(ControlCommand.StartBooking c, BookingLedger.Decision d) {
     logger.atInfo().log("booking: start of request %s was answered too late: %s", c.requestId(), d);
     if (d == BookingLedger.Decision.SEND) {
