Encode an announcement once for all messages that carry it

Cause: each message encoded every candidate announcement to find its size. A transport test relied on a connection within 300 ms, which a busy machine does not promise. Change: the directory keeps announcements without cache events, and their JSON is cached by object. The test connects before its timed call.

--- a/core/src/main/java/org/goldcrestfall/core/membership/UpstreamDirectory.java
+++ b/core/src/main/java/org/goldcrestfall/core/membership/UpstreamDirectory.java
@@ -1,6 +1,7 @@
 package org.goldcrestfall.core.membership;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -24,6 +25,10 @@
   public static final long UNKNOWN_AGE_MILLIS = UpstreamAnnouncement.MAX_TTL_MILLIS;
 
   private final Map<String, UpstreamEntry> entries = new TreeMap<>();
+
+  /** The announcements without cache events, as other routers get them. */
+  private final Map<String, UpstreamAnnouncement> light = new HashMap<>();
+
   private final SpreadQueue queue = new SpreadQueue();
   private UpstreamSnapshot snapshot = UpstreamSnapshot.EMPTY;
 
@@ -52,7 +57,11 @@
   }
 
   private void put(UpstreamEntry entry) {
-    entries.put(entry.announcement().name(), entry);
+    String name = entry.announcement().name();
+    UpstreamEntry known = entries.put(name, entry);
+    if (known == null || known.announcement() != entry.announcement()) {
+      light.put(name, entry.announcement().withoutCacheEvents());
+    }
     snapshot = null;
   }
 
@@ -63,6 +72,7 @@
             .values()
             .removeIf(e -> e.ageMillis(now) >= e.announcement().ttlMillis() + RETENTION_MILLIS);
     if (removed) {
+      light.keySet().retainAll(entries.keySet());
       snapshot = null;
     }
   }
@@ -90,7 +100,7 @@
     for (String name : queue.next(maxBytes, n -> size(n, bytes, now), members)) {
       UpstreamEntry e = entries.get(name);
       if (worthSending(e, now)) {
-        deltas.add(new Delta(e.announcement().withoutCacheEvents(), e.ageMillis(now)));
+        deltas.add(new Delta(light.get(name), e.ageMillis(now)));
       }
     }
     return deltas;
@@ -98,7 +108,7 @@
 
   private int size(String name, ToIntFunction<UpstreamAnnouncement> bytes, long now) {
     UpstreamEntry e = entries.get(name);
-    return worthSending(e, now) ? bytes.applyAsInt(e.announcement().withoutCacheEvents()) : 0;
+    return worthSending(e, now) ? bytes.applyAsInt(light.get(name)) : 0;
   }
 
   /** Returns everything that is useful to a router that may have missed changes. */
@@ -106,7 +116,7 @@
     List<Delta> all = new ArrayList<>();
     for (UpstreamEntry e : entries.values()) {
       if (worthSending(e, now)) {
-        all.add(new Delta(e.announcement().withoutCacheEvents(), e.ageMillis(now)));
+        all.add(new Delta(light.get(e.announcement().name()), e.ageMillis(now)));
       }
     }
     return all;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/peer/UpstreamCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/peer/UpstreamCodec.java
@@ -2,6 +2,9 @@
 
 import com.fasterxml.jackson.databind.DeserializationFeature;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import com.google.common.cache.CacheBuilder;
+import com.google.common.cache.CacheLoader;
+import com.google.common.cache.LoadingCache;
 import com.google.common.flogger.FluentLogger;
 import com.google.protobuf.ByteString;
 import java.io.IOException;
@@ -25,15 +28,21 @@
   /** Tags, lengths and age of an update. */
   private static final int UPDATE_BYTES = 12;
 
+  /** Keeps the JSON of announcements, which the same object needs for several messages. */
+  private static final LoadingCache<UpstreamAnnouncement, ByteString> ENCODED =
+      CacheBuilder.newBuilder()
+          .weakKeys()
+          .build(CacheLoader.from(a -> ByteString.copyFrom(ConfigCodec.write(a))));
+
   private UpstreamCodec() {}
 
   static int encodedBytes(UpstreamAnnouncement a) {
-    return ConfigCodec.write(a).length + UPDATE_BYTES;
+    return ENCODED.getUnchecked(a).size() + UPDATE_BYTES;
   }
 
   static UpstreamUpdate update(Delta d) {
     return UpstreamUpdate.newBuilder()
-        .setAnnouncement(ByteString.copyFrom(ConfigCodec.write(d.announcement())))
+        .setAnnouncement(ENCODED.getUnchecked(d.announcement()))
         .setAgeMillis(d.ageMillis())
         .build();
   }
--- a/wire/src/test/java/org/goldcrestfall/wire/NettyPeerTransportTest.java
+++ b/wire/src/test/java/org/goldcrestfall/wire/NettyPeerTransportTest.java
@@ -128,7 +128,10 @@
   void callWithoutReplyTimesOut() throws Exception {
     NettyPeerTransport b = open("b");
     b.handle(Body.KindCase.CONFIG_REQUEST, (sender, body) -> new CompletableFuture<>());
-    var call = open("a").call(b.address(), request(1), 300);
+    NettyPeerTransport a = open("a");
+    // Without a connection at the end of the short timeout the call would fail as not sent.
+    failure(a.call(b.address(), reply(0), PATIENCE_MILLIS));
+    var call = a.call(b.address(), request(1), 300);
     assertThat(failure(call)).isInstanceOf(TimeoutException.class);
   }
 
