Replay late configuration replies

Cause: no trace showed a configuration that goes back when the revision comparison is taken out. Change: a trace in which whole views of one control member arrive after newer revisions. Result: it passes, and fails with 'revision of router 4' without the comparison.

--- a/daemon/src/test/java/org/goldcrestfall/daemon/peer/TraceReplayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/peer/TraceReplayTest.java
@@ -32,6 +32,7 @@
         "late-announcement",
         "freeze-hides-leaving",
         "stale-control",
+        "late-config-reply",
         "router-reaches-one-router",
         "long-partition-heals",
         "one-slow-link",
@@ -68,6 +69,12 @@
       case "start" -> fleet.start(number(w, 1));
       case "isolate" -> fleet.isolated[number(w, 1)] = true;
       case "commit" -> latest = fleet.commit();
+      case "commits" -> {
+        for (int i = number(w, 1); i > 0; i--) {
+          latest = fleet.commit();
+          fleet.run(number(w, 3));
+        }
+      }
       case "leave" -> upstreams.get(w.get(1)).leave(number(w, 3));
       case "vanish" -> upstreams.get(w.get(1)).vanish();
       case "expect" -> expect(line, w.subList(1, w.size()));
