--- a/core/src/test/java/org/goldcrestfall/core/admission/AdmissionQueueTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/admission/AdmissionQueueTest.java
@@ -210,4 +210,17 @@
     // Two for the reserved share, and at most two of the slots that quick work does not need.
     assertThat(started).isBetween(2, 4);
   }
+
+  /** Guards against requests that wait until their deadline although it cannot be met. */
+  @Example
+  void requestsThatCannotMeetTheirDeadlineAreRefusedOnArrival() {
+    AdmissionQueue queue = new AdmissionQueue(100, 1_000_000, SHARES);
+    List<Refusal> refusals = new ArrayList<>();
+    for (int i = 0; i < 10; i++) {
+      refusals.addAll(queue.offer(patient("p" + i, 15_000 + i, 10_000), 4, 0));
+    }
+    // Four start at once and four after 10 s; the other two would start at 20 s.
+    assertThat(refusals).extracting(r -> r.request().id()).containsExactly("p8", "p9");
+    assertThat(refusals).allMatch(r -> r.kind() == ErrorKind.OVERLOADED);
+  }
 }
