Print the cause of lost connections in chat and load

A lost request was reported as connection_lost only, which did not tell a refused connection from a timeout while a router livelocked. The message now ends with the exception or the error message.

--- a/standin/src/main/java/org/goldcrestfall/standin/call/Calls.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/call/Calls.java
@@ -75,7 +75,8 @@
       return 0;
     }
     String problem = reply.check().isWrong() ? reply.check().problem() : "" + reply.error();
-    err.println("status " + reply.status() + ", " + reply.kind() + ": " + problem);
+    err.println(
+        "status " + reply.status() + ", " + reply.kind() + ": " + problem + " " + reply.failure());
     return 1;
   }
 
--- a/standin/src/main/java/org/goldcrestfall/standin/client/ChatClient.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/client/ChatClient.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.MissingNode;
+import com.google.common.base.Throwables;
 import java.net.http.HttpClient;
 import java.net.http.HttpResponse;
 import java.time.Duration;
@@ -36,7 +37,7 @@
   public CompletableFuture<ChatReply> send(String server, ChatCall call) {
     Exchange exchange = new Exchange(call);
     return http.sendAsync(call.request(server, timeout), exchange::body)
-        .handle((response, failure) -> exchange.reply());
+        .handle((response, failure) -> exchange.reply(failure));
   }
 
   /** The state of one call; the body subscriber is the only writer until the call ends. */
@@ -84,9 +85,13 @@
       return null;
     }
 
-    ChatReply reply() {
+    private static String text(Throwable failure) {
+      return failure == null ? "" : Throwables.getRootCause(failure).toString();
+    }
+
+    ChatReply reply(Throwable failure) {
       JsonNode cause = error == null ? check.error() : error;
-      return new ChatReply(status, check, cause, requestId, firstTokenAtNanos);
+      return new ChatReply(status, check, cause, requestId, firstTokenAtNanos, text(failure));
     }
   }
 }
--- a/standin/src/main/java/org/goldcrestfall/standin/load/Attempt.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/load/Attempt.java
@@ -1,43 +1,50 @@
 package org.goldcrestfall.standin.load;
 
 import com.fasterxml.jackson.databind.JsonNode;
+import com.google.common.base.Throwables;
 import org.goldcrestfall.standin.client.ChatReply;
 
 /**
  * The result of one attempt. {@code kind} is empty for a whole answer, an error kind, or {@code
- * connection_lost}; {@code problem} is not empty where the answer is wrong.
+ * connection_lost}; {@code problem} is not empty where the answer is wrong; {@code detail} is the
+ * message of an error or exception.
  */
-record Attempt(String kind, boolean retry, boolean notRun, String problem, long firstTokenAtNanos) {
+record Attempt(
+    String kind,
+    boolean retry,
+    boolean notRun,
+    String problem,
+    long firstTokenAtNanos,
+    String detail) {
 
   private static final String LOST = "connection_lost";
 
   static Attempt of(ChatReply reply) {
     String problem = reply.check().problem();
     if (reply.check().isWhole()) {
-      return new Attempt("", false, false, problem, reply.firstTokenAtNanos());
+      return new Attempt("", false, false, problem, reply.firstTokenAtNanos(), "");
     }
-    return ofError(reply.error(), problem);
+    return reply.error() == null
+        ? new Attempt(LOST, true, false, problem, 0, reply.failure())
+        : ofError(reply.error(), problem);
   }
 
   static Attempt whole(String problem) {
-    return new Attempt("", false, false, problem, System.nanoTime());
+    return new Attempt("", false, false, problem, System.nanoTime(), "");
   }
 
-  static Attempt lost() {
-    return new Attempt(LOST, true, false, "", 0);
+  static Attempt lost(Throwable failure) {
+    return new Attempt(LOST, true, false, "", 0, Throwables.getRootCause(failure).toString());
   }
 
-  /** Reads an error object; null stands for a lost connection. */
   static Attempt ofError(JsonNode error, String problem) {
-    if (error == null) {
-      return new Attempt(LOST, true, false, problem, 0);
-    }
     return new Attempt(
         error.path("kind").asText("unknown"),
         error.path("retry").asBoolean(false),
         error.path("run").asText().equalsIgnoreCase("not_run"),
         problem,
-        0);
+        0,
+        error.path("message").asText());
   }
 
   boolean isWhole() {
--- a/standin/src/main/java/org/goldcrestfall/standin/load/Caller.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/load/Caller.java
@@ -33,7 +33,8 @@
     if (!entry.isChat()) {
       return http.sendAsync(serviceRequest(server, entry), HttpResponse.BodyHandlers.ofString())
           .handle(
-              (response, failure) -> failure == null ? checked(entry, response) : Attempt.lost());
+              (response, failure) ->
+                  failure == null ? checked(entry, response) : Attempt.lost(failure));
     }
     ChatCall call =
         new ChatCall(
--- a/standin/src/main/java/org/goldcrestfall/standin/load/LoadRun.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/load/LoadRun.java
@@ -75,8 +75,8 @@
     int router = Math.floorMod(entry.id().hashCode() + attempt, options.servers.size());
     caller
         .send(options.servers.get(router), entry)
-        .completeOnTimeout(Attempt.lost(), 2 * options.timeoutSeconds, TimeUnit.SECONDS)
-        .exceptionally(failure -> Attempt.lost())
+        .orTimeout(2 * options.timeoutSeconds, TimeUnit.SECONDS)
+        .exceptionally(Attempt::lost)
         .thenAccept(result -> completed(entry, attempt, result));
   }
 
--- a/standin/src/main/java/org/goldcrestfall/standin/load/Tally.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/load/Tally.java
@@ -57,7 +57,8 @@
       refused.merge(last.kind(), 1L, Long::sum);
     } else {
       lost++;
-      problem(entry, "lost after " + attemptCount + " attempts, " + last.kind());
+      problem(
+          entry, "lost after " + attemptCount + " attempts, " + last.kind() + " " + last.detail());
     }
   }
 
--- a/standin/src/test/java/org/goldcrestfall/standin/load/LoadTest.java
+++ b/standin/src/test/java/org/goldcrestfall/standin/load/LoadTest.java
@@ -87,7 +87,8 @@
   @Example
   void unansweredRequestIsLostAndRefusalAsNotRunIsNot() {
     Tally tally = new Tally();
-    tally.finished(booking("a"), Attempt.lost(), 3, System.nanoTime());
+    tally.finished(
+        booking("a"), Attempt.lost(new java.io.IOException("reset")), 3, System.nanoTime());
     tally.finished(booking("b"), refusal("upstream_failed", "ran"), 3, System.nanoTime());
     tally.finished(booking("c"), refusal("overloaded", "not_run"), 3, System.nanoTime());
     tally.finished(booking("d"), refusal("outcome_unknown", "unknown"), 1, System.nanoTime());
