--- a/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
@@ -358,7 +358,8 @@
     long until = clock.nowMillis() + SETTLE_MILLIS;
     while (role != null && !role.drain()) {
       if (clock.nowMillis() > until) {
-        logger.atWarning().log("daemon: allotments could not be returned in time");
+        logger.atWarning().log(
+            "daemon: allotments could not be returned in time: %s", role.undrained());
         return false;
       }
       Thread.sleep(POLL_MILLIS);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
@@ -174,6 +174,11 @@
     return budgets.drain() && bookings.unanswered() == 0;
   }
 
+  /** Returns what keeps the router from being drained, for the log. */
+  String undrained() {
+    return budgets.undrained() + ", " + bookings.unanswered() + " bookings unanswered";
+  }
+
   private void registerMetrics(DaemonMetrics m) {
     m.gauge("queued_requests", "Requests that wait for a slot", admission::size);
     m.gauge("usable_slots", "Engine slots that this router may use", pool::usableSlots);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
@@ -228,6 +228,13 @@
     }
   }
 
+  /** Returns what keeps {@link #drain} from being done, for the log. */
+  public synchronized String undrained() {
+    List<String> granting = ledger.workspaces().stream().filter(ledger::hasPendingGrant).toList();
+    return "%s records unsettled, returns %s, grants pending for %s"
+        .formatted(settlements.size(), ledger.unacknowledgedReturns(), granting);
+  }
+
   /** Serves waiting requests from what has become available. */
   public void serveWaiters(String workspace) {
     List<Waiter> served =
@@ -368,6 +375,9 @@
                   returning.remove(r.workspace());
                   if (e == null && reply instanceof ControlReply.Done) {
                     ledger.returnAcknowledged(r.workspace(), r.returnedTotal());
+                  } else if (e == null) {
+                    logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
+                        "budget: return %s was refused: %s", r, reply);
                   }
                 }
               });
--- a/standin/src/test/java/org/goldcrestfall/standin/process/BadInputIT.java
+++ b/standin/src/test/java/org/goldcrestfall/standin/process/BadInputProcessTest.java
@@ -18,7 +18,7 @@
  * Guards against bad input that is charged, is answered with the wrong kind, or harms other
  * requests. The cases are in bad-input.jsonl; all of them must pass.
  */
-final class BadInputIT {
+final class BadInputProcessTest {
 
   private static final int CASES = 21;
   private static final int PAID_IN = 100_000;
@@ -27,7 +27,8 @@
     List<JsonNode> out = new ArrayList<>();
     for (String line :
         Resources.readLines(
-            Resources.getResource(BadInputIT.class, "bad-input.jsonl"), StandardCharsets.UTF_8)) {
+            Resources.getResource(BadInputProcessTest.class, "bad-input.jsonl"),
+            StandardCharsets.UTF_8)) {
       out.add(Fleet.MAPPER.readTree(line));
     }
     return out;
--- a/standin/src/test/java/org/goldcrestfall/standin/process/Fleet.java
+++ b/standin/src/test/java/org/goldcrestfall/standin/process/Fleet.java
@@ -123,24 +123,25 @@
       members.append(comma).append("{\"host\": \"%s\", \"address\": \"%s\"}".formatted(h, address));
       seeds.append(comma).append('"').append(address).append('"');
     }
-    return """
+    String form =
+        """
         {"host": "%s", "zone": "zone-%s", "roles": ["router", "control"],
          "http": {"address": "127.0.0.1", "port": %d},
          "peer": {"address": "127.0.0.1", "port": %d, "key": "0123456789abcdef0123"},
          "seeds": [%s], "controlMembers": [%s], "dataFolder": "%s",
          "operators": [{"name": "ana", "tokenSha256": "%s"}], "upstreamKeySha256": "%s",
          "drain": {"notReadyMillis": 100, "maxMillis": 60000}}
-        """
-        .formatted(
-            host,
-            host,
-            httpPorts.get(host),
-            peerPorts.get(host),
-            seeds,
-            members,
-            dataFolder(host),
-            sha256(TOKEN),
-            sha256(UPSTREAM_KEY));
+        """;
+    return form.formatted(
+        host,
+        host,
+        httpPorts.get(host),
+        peerPorts.get(host),
+        seeds,
+        members,
+        dataFolder(host),
+        sha256(TOKEN),
+        sha256(UPSTREAM_KEY));
   }
 
   Path dataFolder(String host) {
--- a/standin/src/test/java/org/goldcrestfall/standin/process/FleetIT.java
+++ b/standin/src/test/java/org/goldcrestfall/standin/process/FleetProcessTest.java
@@ -20,7 +20,7 @@
  * Guards the promises across real processes: daemons are killed with SIGKILL, one loses its data
  * folder, one is stopped with SIGTERM. Outcomes are asserted, not times.
  */
-final class FleetIT {
+final class FleetProcessTest {
 
   private static final int PAID_IN = 10_000_000;
   private static final int TOKENS = 20;
