--- a/cli/src/main/java/org/goldcrestfall/cli/CommandLine.java
+++ b/cli/src/main/java/org/goldcrestfall/cli/CommandLine.java
@@ -28,6 +28,7 @@
     add("workspace", "list", new WorkspaceCommands.ListAll());
     add("key", "create", new WorkspaceCommands.CreateKey());
     add("key", "revoke", new WorkspaceCommands.RevokeKey());
+    add("key", "limits", new WorkspaceCommands.KeyLimits());
     add("budget", "top-up", new BudgetCommands.TopUp());
     add("budget", "show", new BudgetCommands.Show());
     add("budget", "release-stranded", new BudgetCommands.ReleaseStranded());
--- a/cli/src/main/java/org/goldcrestfall/cli/WorkspaceCommands.java
+++ b/cli/src/main/java/org/goldcrestfall/cli/WorkspaceCommands.java
@@ -71,6 +71,33 @@
     }
   }
 
+  /** Sets the limits of a key. */
+  @Parameters(commandDescription = "Set the limits of an API key; 0 is no limit")
+  static final class KeyLimits extends ChangeCommand {
+    @Parameter(description = "WORKSPACE", required = true)
+    String workspace;
+
+    @Parameter(names = "--key-id", description = "Name of the key", required = true)
+    String keyId;
+
+    @Parameter(names = "--requests-per-second", description = "Rate limit", required = true)
+    long requestsPerSecond;
+
+    @Parameter(names = "--concurrent-requests", description = "Concurrency limit", required = true)
+    long concurrentRequests;
+
+    @Override
+    ObjectNode intent(Session session) {
+      return session
+          .object()
+          .put("type", "set_key_limits")
+          .put("workspace", workspace)
+          .put("key_id", keyId)
+          .put("requests_per_second", requestsPerSecond)
+          .put("concurrent_requests", concurrentRequests);
+    }
+  }
+
   /** Lists workspaces. */
   @Parameters(commandDescription = "List workspaces")
   static final class ListAll extends Command {
--- a/core/src/main/java/org/goldcrestfall/core/control/ConfigView.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/ConfigView.java
@@ -69,8 +69,14 @@
       long requestsPerSecond,
       long concurrentRequests) {}
 
-  /** An API key. */
-  public record Key(String sha256, String keyId, String workspace, boolean revoked) {}
+  /** An API key with its limits; 0 is no limit. */
+  public record Key(
+      String sha256,
+      String keyId,
+      String workspace,
+      boolean revoked,
+      long requestsPerSecond,
+      long concurrentRequests) {}
 
   /** A patience class; units as in {@link Intent.SetPatienceClass}. */
   public record PatienceClass(
--- a/core/src/main/java/org/goldcrestfall/core/control/Intent.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/Intent.java
@@ -14,6 +14,7 @@
   @JsonSubTypes.Type(value = Intent.TopUpBudget.class, name = "top_up_budget"),
   @JsonSubTypes.Type(value = Intent.SetPatienceClass.class, name = "set_patience_class"),
   @JsonSubTypes.Type(value = Intent.SetLimits.class, name = "set_limits"),
+  @JsonSubTypes.Type(value = Intent.SetKeyLimits.class, name = "set_key_limits"),
   @JsonSubTypes.Type(value = Intent.DefineService.class, name = "define_service"),
   @JsonSubTypes.Type(value = Intent.ReleaseStranded.class, name = "release_stranded"),
   @JsonSubTypes.Type(value = Intent.OrderEngine.class, name = "order_engine")
@@ -45,6 +46,11 @@
   record SetLimits(String workspace, long requestsPerSecond, long concurrentRequests)
       implements Intent {}
 
+  /** Sets the rate limit (requests a second) and concurrency limit of a key; 0 is none. */
+  record SetKeyLimits(
+      String workspace, String keyId, long requestsPerSecond, long concurrentRequests)
+      implements Intent {}
+
   /** Defines a plain service: price of a call in tokens, and its idempotent HTTP methods. */
   record DefineService(String name, long priceTokens, List<String> idempotentMethods)
       implements Intent {}
--- a/core/src/main/java/org/goldcrestfall/core/control/IntentChecks.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/IntentChecks.java
@@ -67,6 +67,13 @@
       workspace(i.workspace(), config);
       range("requestsPerSecond", i.requestsPerSecond(), 0, MAX_LIMIT);
       range("concurrentRequests", i.concurrentRequests(), 0, MAX_LIMIT);
+    } else if (intent instanceof Intent.SetKeyLimits i) {
+      workspace(i.workspace(), config);
+      require(
+          config.key(i.workspace(), i.keyId()) != null,
+          "there is no key " + i.keyId() + " in " + i.workspace());
+      range("requestsPerSecond", i.requestsPerSecond(), 0, MAX_LIMIT);
+      range("concurrentRequests", i.concurrentRequests(), 0, MAX_LIMIT);
     } else if (intent instanceof Intent.DefineService i) {
       service(i);
     } else if (intent instanceof Intent.ReleaseStranded i) {
--- a/core/src/main/java/org/goldcrestfall/core/control/IntentEffects.java
+++ b/core/src/main/java/org/goldcrestfall/core/control/IntentEffects.java
@@ -55,6 +55,11 @@
       Key before = config.key(i.workspace(), i.keyId());
       return change(keyPath(i.workspace(), i.keyId()), text(before), text(revoked(before)));
     }
+    if (intent instanceof Intent.SetKeyLimits i) {
+      Key before = config.key(i.workspace(), i.keyId());
+      String after = text(keyLimits(i, before));
+      return change(keyPath(i.workspace(), i.keyId()), text(before), after);
+    }
     if (intent instanceof Intent.TopUpBudget i) {
       long paidIn = budgets.find(i.workspace()).paidIn;
       return change("budget/" + i.workspace(), paidIn(paidIn), paidIn(paidIn + i.tokens()));
@@ -89,6 +94,8 @@
       config.put(index, key(i));
     } else if (intent instanceof Intent.RevokeKey i) {
       config.put(index, revoked(config.key(i.workspace(), i.keyId())));
+    } else if (intent instanceof Intent.SetKeyLimits i) {
+      config.put(index, keyLimits(i, config.key(i.workspace(), i.keyId())));
     } else if (intent instanceof Intent.TopUpBudget i) {
       budgets.topUp(i.workspace(), i.tokens());
     } else if (intent instanceof Intent.SetPatienceClass i) {
@@ -128,11 +135,22 @@
   }
 
   private static Key key(Intent.CreateKey i) {
-    return new Key(i.keySha256(), i.keyId(), i.workspace(), false);
+    return new Key(i.keySha256(), i.keyId(), i.workspace(), false, 0, 0);
   }
 
   private static Key revoked(Key k) {
-    return new Key(k.sha256(), k.keyId(), k.workspace(), true);
+    return new Key(
+        k.sha256(), k.keyId(), k.workspace(), true, k.requestsPerSecond(), k.concurrentRequests());
+  }
+
+  private static Key keyLimits(Intent.SetKeyLimits i, Key k) {
+    return new Key(
+        k.sha256(),
+        k.keyId(),
+        k.workspace(),
+        k.revoked(),
+        i.requestsPerSecond(),
+        i.concurrentRequests());
   }
 
   private static PatienceClass patienceClass(Intent.SetPatienceClass i) {
@@ -162,7 +180,10 @@
   }
 
   private static String text(Key k) {
-    return String.format("{\"sha256\":\"%s\",\"revoked\":%b}", k.sha256(), k.revoked());
+    return String.format(
+        "{\"sha256\":\"%s\",\"revoked\":%b,"
+            + "\"requestsPerSecond\":%d,\"concurrentRequests\":%d}",
+        k.sha256(), k.revoked(), k.requestsPerSecond(), k.concurrentRequests());
   }
 
   private static String text(PatienceClass c) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
@@ -1,6 +1,7 @@
 package org.goldcrestfall.daemon;
 
 import com.google.common.flogger.FluentLogger;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -287,8 +288,15 @@
 
   private final class CacheEvents implements PeerListener {
 
+    private final Map<String, Long> incarnations = new HashMap<>();
+
     @Override
     public void upstreamAnnounced(UpstreamAnnouncement a) {
+      Long known = incarnations.put(a.name(), a.incarnation());
+      if (known != null && known != a.incarnation()) {
+        // A restarted engine has an empty cache and numbers its cache events anew.
+        pool.remove(a.name());
+      }
       for (UpstreamAnnouncement.CacheEvent e : a.cacheEvents()) {
         try {
           pool.onCacheEvent(
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/BenchFleet.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/bench/BenchFleet.java
@@ -125,7 +125,7 @@
     for (int i = 0; i < workspaces; i++) {
       map.put("workspace-" + i, workspace(i, 10));
       String sha = String.format("%064x", i);
-      keys.put(sha, new ConfigView.Key(sha, "key-" + i, "workspace-" + i, false));
+      keys.put(sha, new ConfigView.Key(sha, "key-" + i, "workspace-" + i, false, 0, 0));
     }
     var patience = new ConfigView.PatienceClass("patient", 400, 60_000, 1, 100);
     return new ConfigView(100, map, keys, Map.of("patient", patience), Map.of());
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
@@ -375,9 +375,9 @@
                   returning.remove(r.workspace());
                   if (e == null && reply instanceof ControlReply.Done) {
                     ledger.returnAcknowledged(r.workspace(), r.returnedTotal());
-                  } else if (e == null) {
+                  } else {
                     logger.atWarning().atMostEvery(10, TimeUnit.SECONDS).log(
-                        "budget: return %s was refused: %s", r, reply);
+                        "budget: return %s is not acknowledged: %s", r, e == null ? reply : e);
                   }
                 }
               });
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/AdmissionFilter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/AdmissionFilter.java
@@ -15,6 +15,7 @@
 import org.goldcrestfall.core.admission.QueuedRequest;
 import org.goldcrestfall.core.admission.Refusal;
 import org.goldcrestfall.core.admission.Shares;
+import org.goldcrestfall.core.admission.SlotTimes;
 import org.goldcrestfall.core.common.ErrorKind;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.common.RequestFailure;
@@ -27,15 +28,10 @@
  */
 public final class AdmissionFilter implements RequestFilter {
 
-  /** Expected time from dispatch to the first token of an idle engine. */
-  private static final long LEAD_MILLIS = 50;
-
-  /** Expected time that one output token holds a slot, before own measurements. */
-  private static final double HOLD_MILLIS_PER_TOKEN = 10;
-
   private static final int REQUEST_OVERHEAD_BYTES = 1_024;
 
   private final AdmissionQueue queue;
+  private final SlotTimes times = new SlotTimes();
   private final DoubleSupplier slots;
   private final MillisClock clock;
   private final DaemonMetrics metrics;
@@ -80,8 +76,15 @@
     }
     run(o);
     c.callerGone().thenRun(() -> cancel(id));
-    c.onEnd(() -> complete(id));
-    return turn.thenComposeAsync(v -> next.proceed(c), executor);
+    SlotUse use = new SlotUse(id, c.patience().name());
+    c.onFirstToken(use::firstToken);
+    c.onEnd(use::end);
+    return turn.thenComposeAsync(
+        v -> {
+          use.start();
+          return next.proceed(c);
+        },
+        executor);
   }
 
   /** Refuses what has become too late and starts what has room. Call about every 100 ms. */
@@ -99,14 +102,47 @@
     return queue.size();
   }
 
-  private void complete(String id) {
-    double now = slots.getAsDouble();
-    Outcome o;
-    synchronized (this) {
-      queue.complete(id);
-      o = collect(List.of(), now);
+  /** The way of one request through its slot, for the expected times of later ones. */
+  private final class SlotUse {
+
+    private final String id;
+    private final String patienceClass;
+    private long startMillis = -1;
+    private long firstTokenMillis = -1;
+
+    SlotUse(String id, String patienceClass) {
+      this.id = id;
+      this.patienceClass = patienceClass;
+    }
+
+    void start() {
+      startMillis = clock.nowMillis();
+    }
+
+    void firstToken() {
+      firstTokenMillis = clock.nowMillis();
+      double usable = slots.getAsDouble();
+      Outcome o;
+      synchronized (AdmissionFilter.this) {
+        queue.onFirstToken(id);
+        o = collect(List.of(), usable);
+      }
+      run(o);
+    }
+
+    void end() {
+      double usable = slots.getAsDouble();
+      Outcome o;
+      synchronized (AdmissionFilter.this) {
+        if (startMillis >= 0 && firstTokenMillis >= 0) {
+          times.onCompletion(
+              patienceClass, firstTokenMillis - startMillis, clock.nowMillis() - startMillis);
+        }
+        queue.complete(id);
+        o = collect(List.of(), usable);
+      }
+      run(o);
     }
-    run(o);
   }
 
   private void cancel(String id) {
@@ -155,16 +191,16 @@
         : "The router is overloaded.";
   }
 
-  private static QueuedRequest request(String id, RequestContext c) {
-    long hold = (long) Math.ceil(c.chat().maxTokens() * HOLD_MILLIS_PER_TOKEN);
+  private QueuedRequest request(String id, RequestContext c) {
+    String patienceClass = c.patience().name();
     return new QueuedRequest(
         id,
-        c.patience().name(),
+        patienceClass,
         c.patience().pricePerMille(),
         c.patience().priority(),
         c.deadlineMillis(),
-        LEAD_MILLIS,
-        hold,
+        times.leadMillis(patienceClass, c.patience().deadlineMillis()),
+        times.holdMillis(patienceClass),
         c.bodyBytes() + REQUEST_OVERHEAD_BYTES);
   }
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/ChatFilter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/ChatFilter.java
@@ -171,6 +171,7 @@
               }
               long firstMillis = parts.clock().nowMillis() - c.arrivedMillis();
               metrics.firstToken(c.patience().name(), firstMillis);
+              c.firstToken();
               return p;
             });
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/LimitFilter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/LimitFilter.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.daemon.filter;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -28,25 +29,17 @@
 
   @Override
   public CompletionStage<HttpResponse> apply(RequestContext c, Next next) {
-    ConfigView.Workspace w = c.workspace();
-    if (w.requestsPerSecond() == 0 && w.concurrentRequests() == 0) {
+    List<Limit> limits = limits(c);
+    if (limits.isEmpty()) {
       return next.proceed(c);
     }
-    // Keys have no limits of their own in the configuration; each is held to its workspace's.
-    List<Limit> limits =
-        List.of(
-            new Limit("workspace/" + w.name(), w.requestsPerSecond(), w.concurrentRequests()),
-            new Limit(
-                "key/" + c.key().keyId() + "@" + w.name(),
-                w.requestsPerSecond(),
-                w.concurrentRequests()));
     Optional<ErrorKind> refusal;
     synchronized (limiter) {
       refusal = limiter.tryAcquire(limits, clock.nowMillis());
     }
     if (refusal.isPresent()) {
       throw new RequestFailure(
-          refusal.get(), "The limits of workspace " + w.name() + " are reached.");
+          refusal.get(), "A limit of key " + c.key().keyId() + " or its workspace is reached.");
     }
     c.onEnd(
         () -> {
@@ -57,6 +50,20 @@
     return next.proceed(c);
   }
 
+  private static List<Limit> limits(RequestContext c) {
+    ConfigView.Workspace w = c.workspace();
+    ConfigView.Key k = c.key();
+    List<Limit> out = new ArrayList<>();
+    if (w.requestsPerSecond() > 0 || w.concurrentRequests() > 0) {
+      out.add(new Limit("workspace/" + w.name(), w.requestsPerSecond(), w.concurrentRequests()));
+    }
+    if (k.requestsPerSecond() > 0 || k.concurrentRequests() > 0) {
+      String scope = "key/" + w.name() + "/" + k.keyId();
+      out.add(new Limit(scope, k.requestsPerSecond(), k.concurrentRequests()));
+    }
+    return out;
+  }
+
   /** Returns the use of this router, for gossip. */
   public Map<String, Use> publish() {
     synchronized (limiter) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/RequestContext.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/RequestContext.java
@@ -30,6 +30,7 @@
   private long deadlineMillis;
   private ReservedTokens reservation;
   private final List<Runnable> endActions = new ArrayList<>();
+  private Runnable firstTokenAction = () -> {};
   private boolean ended;
   private volatile boolean bookingRecordRead;
 
@@ -49,6 +50,16 @@
     }
   }
 
+  /** Sets what runs at the first token of the answer. */
+  void onFirstToken(Runnable action) {
+    firstTokenAction = action;
+  }
+
+  /** Notes the first token of the answer. */
+  void firstToken() {
+    firstTokenAction.run();
+  }
+
   /** Marks the end of the request: answered whole, failed or cancelled. Later calls do nothing. */
   public void end() {
     List<Runnable> actions;
--- a/wire/src/test/java/org/goldcrestfall/wire/NettyPeerTransportTest.java
+++ b/wire/src/test/java/org/goldcrestfall/wire/NettyPeerTransportTest.java
@@ -166,6 +166,11 @@
     }
     assertThat(failure(calls.get(39))).isInstanceOf(ConnectException.class);
     a.send(address, large);
+    // The message is handled on the I/O thread, which could see the close first.
+    long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(PATIENCE_MILLIS);
+    while (counter.dropped.get() == 0 && System.nanoTime() < end) {
+      Thread.onSpinWait();
+    }
     raw.close();
     assertThat(failure(first)).isNotInstanceOf(ConnectException.class);
     assertThat(failure(calls.get(0))).isNotInstanceOf(ConnectException.class);
