--- a/standin/src/main/java/org/goldcrestfall/standin/bench/ClosedLoop.java
+++ b/standin/src/main/java/org/goldcrestfall/standin/bench/ClosedLoop.java
@@ -14,6 +14,7 @@
 final class ClosedLoop {
 
   private static final int SIGNIFICANT_DIGITS = 3;
+  private static final long FAILURE_PAUSE_MILLIS = 100;
   private static final long START_SPREAD_MILLIS = 1_000;
   private static final long NANOS_PER_MICRO = 1_000;
 
@@ -74,7 +75,13 @@
         .thenAccept(
             reply -> {
               ended(reply, start);
-              next(loop, end);
+              if (reply.check().isWhole()) {
+                next(loop, end);
+                return;
+              }
+              // Without a pause, refused streams would flood the router with new ones.
+              CompletableFuture.delayedExecutor(FAILURE_PAUSE_MILLIS, TimeUnit.MILLISECONDS)
+                  .execute(() -> next(loop, end));
             });
   }
 
