--- a/core/src/main/java/org/goldcrestfall/core/retry/Failure.java
+++ b/core/src/main/java/org/goldcrestfall/core/retry/Failure.java
@@ -11,9 +11,15 @@
  * @param attempt number of the failed attempt, from 1
  * @param deadlineMillis caller's deadline on the router's clock
  * @param retryAfterMillis delay that the upstream asked for; 0 if none
+ * @param resumes whether the retry continues a stream of which the caller has a part
  */
 public record Failure(
-    boolean sent, boolean idempotent, int attempt, long deadlineMillis, long retryAfterMillis) {
+    boolean sent,
+    boolean idempotent,
+    int attempt,
+    long deadlineMillis,
+    long retryAfterMillis,
+    boolean resumes) {
 
   /** Checks the arguments. */
   public Failure {
--- a/core/src/main/java/org/goldcrestfall/core/retry/RetryPolicy.java
+++ b/core/src/main/java/org/goldcrestfall/core/retry/RetryPolicy.java
@@ -6,9 +6,13 @@
 
 /**
  * Decides whether a failed attempt is repeated. Only an idempotent request, or one of which
- * provably no byte was sent, is repeated; the retries of a window stay within a share of its
- * requests; the delay is exponential with full jitter and never reaches the caller's deadline. Not
- * thread-safe.
+ * provably no byte was sent, is repeated; the delay is exponential with full jitter and never
+ * reaches the caller's deadline.
+ *
+ * <p>The retries of a window stay within a share of its requests. Requests that were not sent have
+ * a larger share, because they cost an upstream nothing. Resumed streams are bounded by their
+ * attempts only: when an engine dies, all its streams need another one at the same moment, and a
+ * part of an answer is worth nothing to its caller. Not thread-safe.
  */
 public final class RetryPolicy {
 
@@ -16,6 +20,7 @@
   private final UniformRandomProvider random;
   private final WindowCounter requests;
   private final WindowCounter retries;
+  private final WindowCounter unsentRetries;
 
   /** Creates a policy whose jitter follows {@code seed}. */
   public RetryPolicy(RetrySettings settings, long seed) {
@@ -23,6 +28,7 @@
     random = RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
     requests = new WindowCounter(settings.windowMillis());
     retries = new WindowCounter(settings.windowMillis());
+    unsentRetries = new WindowCounter(settings.windowMillis());
   }
 
   /** Records the first attempt of a request, which adds to the retry budget. */
@@ -42,14 +48,23 @@
     if (nowMillis + delay >= failure.deadlineMillis()) {
       return refuse(Verdict.DEADLINE_TOO_NEAR);
     }
-    double budget = settings.budgetFloor() + settings.budgetShare() * requests.sum(nowMillis);
-    if (retries.sum(nowMillis) + 1 > budget) {
+    if (!failure.resumes() && !charge(failure.sent(), nowMillis)) {
       return refuse(Verdict.BUDGET_EXHAUSTED);
     }
-    retries.add(nowMillis);
     return new RetryDecision(Verdict.RETRY, delay);
   }
 
+  private boolean charge(boolean sent, long nowMillis) {
+    WindowCounter counter = sent ? retries : unsentRetries;
+    double share = sent ? settings.budgetShare() : settings.unsentShare();
+    double budget = settings.budgetFloor() + share * requests.sum(nowMillis);
+    if (counter.sum(nowMillis) + 1 > budget) {
+      return false;
+    }
+    counter.add(nowMillis);
+    return true;
+  }
+
   private long jitter(int attempt) {
     int shift = Math.min(attempt - 1, 30);
     long bound = Math.min(settings.maxDelayMillis(), settings.baseDelayMillis() << shift);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/ServiceFilter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/ServiceFilter.java
@@ -108,7 +108,7 @@
   private CompletionStage<ServiceAnswer> retry(
       RequestContext c, int number, Set<String> failed, ServiceAnswer a, Throwable e) {
     boolean sent = !(e != null && Answers.unwrap(e) instanceof NotSentException);
-    RetryDecision d = retries.decide(new Failure(sent, true, number, c.deadlineMillis(), 0));
+    RetryDecision d = retries.decide(new Failure(sent, true, number, c.deadlineMillis(), 0, false));
     logger.atFine().log("http: call %s of request %s failed: %s", number, c.requestId(), d);
     if (!d.retry()) {
       if (a != null) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
@@ -81,7 +81,8 @@
     parts.retries().onRequest();
     PFBuilder<Throwable, Graph<SourceShape<List<String>>, NotUsed>> next = new PFBuilder<>();
     return attempt()
-        .recoverWithRetries(-1, next.matchAny(this::afterFailure).build())
+        .recoverWithRetries(
+            -1, next.match(Throwable.class, t -> !isFinal(t), this::afterFailure).build())
         .watchTermination(
             (m, done) -> {
               done.whenComplete((d, e) -> endAttempt());
@@ -89,6 +90,11 @@
             });
   }
 
+  /** A decided failure must not be recovered again, which would never end. */
+  private static boolean isFinal(Throwable t) {
+    return Answers.unwrap(t) instanceof RequestFailure;
+  }
+
   /** Returns the number of tokens passed on. */
   public long outputTokens() {
     return assembler.passedOn();
@@ -198,9 +204,6 @@
 
   private Graph<SourceShape<List<String>>, NotUsed> afterFailure(Throwable t) {
     Throwable cause = Answers.unwrap(t);
-    if (cause instanceof RequestFailure) {
-      return Source.failed(cause);
-    }
     boolean notSent = cause instanceof NotSentException;
     sent |= !notSent;
     if (engine != null) {
@@ -211,7 +214,10 @@
     long now = parts.clock().nowMillis();
     long limit = assembler.passedOn() > 0 ? now + RESUME_MILLIS : deadlineMillis;
     int attempts = Math.max(1, assembler.attempt());
-    RetryDecision d = parts.retries().decide(new Failure(!notSent, true, attempts, limit, 0));
+    RetryDecision d =
+        parts
+            .retries()
+            .decide(new Failure(!notSent, true, attempts, limit, 0, assembler.passedOn() > 0));
     logger.atFine().log(
         "upstream: attempt %s of request %s failed (%s): %s", attempts, requestId, cause, d);
     if (!d.retry()) {
