Commit the billing record before the end of an answer is sent

The tokens were stranded, so no budget was exceeded, but the request was not billed once. Change: a record is submitted at once, and further ones gather while a batch is under way; the last event of an answer waits up to 500 ms for the commit.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -55,6 +56,7 @@
   private final MillisClock clock;
   private final Map<String, List<Waiter>> waiters = new HashMap<>();
   private final Map<String, Long> asked = new HashMap<>();
+  private final Map<BillingRecord, CompletableFuture<Void>> unsettled = new IdentityHashMap<>();
   private final Map<String, Long> answeredMillis = new HashMap<>();
   private final Set<String> returning = new HashSet<>();
   private final AtomicLong ids = new AtomicLong();
@@ -121,10 +123,16 @@
   }
 
   @Override
-  public synchronized void settle(ReservedTokens r, BillingRecord record) {
-    ledger.settle(r.workspace(), r.tokens(), record.tokens());
-    policy.used(r.workspace(), record.tokens(), clock.nowMillis());
-    settlements.add(record, clock.nowMillis());
+  public CompletableFuture<Void> settle(ReservedTokens r, BillingRecord record) {
+    CompletableFuture<Void> done = new CompletableFuture<>();
+    synchronized (this) {
+      policy.used(r.workspace(), record.tokens(), clock.nowMillis());
+      ledger.settle(r.workspace(), r.tokens(), record.tokens());
+      settlements.add(record, clock.nowMillis());
+      unsettled.put(record, done);
+    }
+    settleNext();
+    return done;
   }
 
   @Override
@@ -330,7 +338,7 @@
       if (settling) {
         return;
       }
-      batch = settlements.next(clock.nowMillis(), draining);
+      batch = settlements.next(clock.nowMillis(), true);
       settling = batch.isPresent();
     }
     if (batch.isPresent()) {
@@ -349,12 +357,20 @@
       }
     }
     for (SettlementQueue.Outcome o : outcomes) {
+      CompletableFuture<Void> done;
+      synchronized (this) {
+        done = unsettled.remove(o.record());
+      }
+      done.complete(null);
       if (o.result() == SettlementQueue.Result.REJECTED) {
         logger.atSevere().log(
             "budget: record of request %s in workspace %s was rejected: %s",
             o.record().requestId(), o.record().workspace(), r);
       }
     }
+    if (e == null) {
+      settleNext();
+    }
   }
 
   private void sendReturns() {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/Budgets.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/Budgets.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.daemon.budget;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
 import org.goldcrestfall.core.control.BillingRecord;
 
@@ -13,8 +14,11 @@
    */
   CompletionStage<ReservedTokens> reserve(String workspace, long tokens);
 
-  /** Settles a reservation with the request's billing record; the rest of it becomes free. */
-  void settle(ReservedTokens reservation, BillingRecord record);
+  /**
+   * Settles a reservation with the request's billing record; the rest of it becomes free. The
+   * future completes when the control group has answered, and never fails.
+   */
+  CompletableFuture<Void> settle(ReservedTokens reservation, BillingRecord record);
 
   /** Frees a reservation whose request used nothing. */
   void release(ReservedTokens reservation);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/ChatFilter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/ChatFilter.java
@@ -40,6 +40,13 @@
   /** Longest time that a caller may refuse to read before its stream is cancelled. */
   static final Duration SLOW_CALLER_TIMEOUT = Duration.ofSeconds(60);
 
+  /**
+   * Longest wait for the commit of the billing record before the end of the answer is sent. A
+   * caller that has the end has a committed record, unless the control group does not answer in
+   * time.
+   */
+  static final long SETTLE_WAIT_MILLIS = 500;
+
   private final ActorSystem<?> system;
   private final ChatStream.Parts parts;
   private final Budgets budgets;
@@ -99,7 +106,9 @@
     Source<ByteString, NotUsed> events =
         tokens
             .map(renderer::tokens)
-            .concatLazy(Source.lazySource(() -> Source.single(end(stream, renderer))));
+            .concatLazy(
+                Source.lazyCompletionStage(
+                    () -> c.settled(SETTLE_WAIT_MILLIS).thenApply(v -> end(stream, renderer))));
     return first(c, events)
         .thenApply(
             p -> {
@@ -127,6 +136,7 @@
                 Source.from(p.first())
                     .concatLazy(p.second())
                     .runFold(new StringBuilder(), ChatFilter::append, system))
+        .thenCompose(text -> c.settled(SETTLE_WAIT_MILLIS).thenApply(v -> text))
         .thenApply(
             text ->
                 answer(c)
@@ -216,18 +226,19 @@
       metrics.usageAboveReservation();
       price = c.reservation().tokens();
     }
-    budgets.settle(
-        c.reservation(),
-        new BillingRecord(
-            workspace,
-            c.requestId(),
-            c.bodyHash(),
-            c.chat().model(),
-            c.patience().name(),
-            s.promptTokens(),
-            s.outputTokens(),
-            price,
-            utc.nowMillis()));
+    c.settledBy(
+        budgets.settle(
+            c.reservation(),
+            new BillingRecord(
+                workspace,
+                c.requestId(),
+                c.bodyHash(),
+                c.chat().model(),
+                c.patience().name(),
+                s.promptTokens(),
+                s.outputTokens(),
+                price,
+                utc.nowMillis())));
     metrics.billed(workspace, price);
     if (s.isWhole()) {
       answers.finish(
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/RequestContext.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/RequestContext.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 import org.apache.pekko.http.javadsl.model.HttpRequest;
 import org.goldcrestfall.core.control.ConfigView;
 import org.goldcrestfall.daemon.budget.ReservedTokens;
@@ -31,6 +32,7 @@
   private ReservedTokens reservation;
   private final List<Runnable> endActions = new ArrayList<>();
   private Runnable firstTokenAction = () -> {};
+  private final CompletableFuture<Void> settled = new CompletableFuture<>();
   private boolean ended;
   private volatile boolean bookingRecordRead;
 
@@ -50,6 +52,18 @@
     }
   }
 
+  /**
+   * Returns what completes when the billing record is committed or nothing has to be billed, at the
+   * latest after {@code waitMillis}.
+   */
+  CompletableFuture<Void> settled(long waitMillis) {
+    return settled.copy().completeOnTimeout(null, waitMillis, TimeUnit.MILLISECONDS);
+  }
+
+  void settledBy(CompletableFuture<Void> commit) {
+    commit.thenRun(() -> settled.complete(null));
+  }
+
   /** Sets what runs at the first token of the answer. */
   void onFirstToken(Runnable action) {
     firstTokenAction = action;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/filter/ServiceFilter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/filter/ServiceFilter.java
@@ -74,13 +74,13 @@
         .whenComplete(
             (a, e) -> {
               if (e == null) {
-                budgets.settle(c.reservation(), record(c, utc.nowMillis()));
+                c.settledBy(budgets.settle(c.reservation(), record(c, utc.nowMillis())));
               } else {
                 budgets.release(c.reservation());
               }
               c.end();
             })
-        .thenApply(a -> answer(c, a));
+        .thenCompose(a -> c.settled(ChatFilter.SETTLE_WAIT_MILLIS).thenApply(v -> answer(c, a)));
   }
 
   private CompletionStage<ServiceAnswer> attempt(RequestContext c, int number, Set<String> failed) {
