--- a/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
@@ -1,17 +1,14 @@
 package org.goldcrestfall.daemon;
 
-import com.google.common.collect.ImmutableSortedMap;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.util.concurrent.ThreadFactoryBuilder;
 import com.typesafe.config.Config;
 import com.typesafe.config.ConfigFactory;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.UUID;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionStage;
@@ -29,15 +26,10 @@
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.common.RequestFailure;
 import org.goldcrestfall.core.config.ConfigFollower;
-import org.goldcrestfall.core.consensus.Timing;
 import org.goldcrestfall.core.control.ConfigView;
 import org.goldcrestfall.core.control.ControlCommand;
 import org.goldcrestfall.core.control.ControlReply;
 import org.goldcrestfall.core.control.Tradeoff;
-import org.goldcrestfall.core.membership.UpstreamAnnouncement;
-import org.goldcrestfall.core.membership.UpstreamEntry;
-import org.goldcrestfall.core.order.OrderController;
-import org.goldcrestfall.core.order.OrderSettings;
 import org.goldcrestfall.daemon.budget.BudgetService;
 import org.goldcrestfall.daemon.budget.WatermarkStore;
 import org.goldcrestfall.daemon.budget.WatermarkWriter;
@@ -45,8 +37,6 @@
 import org.goldcrestfall.daemon.control.ControlClient;
 import org.goldcrestfall.daemon.control.ControlGroup;
 import org.goldcrestfall.daemon.control.ControlService;
-import org.goldcrestfall.daemon.control.ControlSettings;
-import org.goldcrestfall.daemon.control.ControlStateMachine;
 import org.goldcrestfall.daemon.http.AnnouncementEndpoint;
 import org.goldcrestfall.daemon.http.CallerEndpoint;
 import org.goldcrestfall.daemon.http.Endpoint;
@@ -55,13 +45,12 @@
 import org.goldcrestfall.daemon.http.OperatorEndpoint;
 import org.goldcrestfall.daemon.http.PlatformEndpoint;
 import org.goldcrestfall.daemon.metrics.DaemonMetrics;
-import org.goldcrestfall.daemon.order.OrderService;
+import org.goldcrestfall.daemon.peer.ConfigSource;
 import org.goldcrestfall.daemon.peer.PeerOptions;
 import org.goldcrestfall.daemon.peer.PeerService;
 import org.goldcrestfall.daemon.settings.Role;
 import org.goldcrestfall.daemon.settings.Settings;
 import org.goldcrestfall.daemon.storage.FolderDisk;
-import org.goldcrestfall.daemon.upstream.ServiceClient;
 import org.goldcrestfall.wire.NettyPeerTransport;
 import org.goldcrestfall.wire.PeerSettings;
 
@@ -73,9 +62,6 @@
   /** Bound of the time until a configuration is in force on every reachable router. */
   public static final long CONFIG_BOUND_MILLIS = ConfigFollower.MAX_CHECK_AGE_MILLIS;
 
-  private static final long WEIGHT_LOAD_BURST = 1;
-  private static final int ORDER_ATTEMPTS = 3;
-  private static final long ORDER_TICK_MILLIS = 100;
   private static final long WATERMARK_BLOCK_TOKENS = 20_000;
   private static final long REGISTER_RETRY_MILLIS = 500;
   private static final long CLOSE_EARLIER_MILLIS = 1_000;
@@ -94,7 +80,7 @@
           1, new ThreadFactoryBuilder().setNameFormat("timer-%d").setDaemon(true).build());
   private ActorSystem<Void> system;
   private NettyPeerTransport transport;
-  private ControlGroup group;
+  private ControlRole controlRole;
   private ControlService control;
   private PeerService peers;
   private HttpFront front;
@@ -115,20 +101,20 @@
   public void start() throws Exception {
     transport = new NettyPeerTransport(peerSettings(), new TransportMetrics(metrics));
     system = ActorSystem.create(Behaviors.empty(), "goldcrestfall", config());
-    ControlStateMachine machine = null;
     if (settings.has(Role.CONTROL)) {
-      machine = new ControlStateMachine();
-      group = openGroup(machine);
+      controlRole = new ControlRole(settings, transport, clock, seed);
     }
+    ControlGroup group = controlRole == null ? null : controlRole.group();
     List<String> members =
         settings.controlMembers().stream().map(Settings.ControlMember::address).toList();
     control = new ControlAccess(new ControlClient(members, transport, clock, group));
-    peers = new PeerService(peerOptions(members), transport, clock, machine);
+    ConfigSource source = controlRole == null ? null : controlRole.machine();
+    peers = new PeerService(peerOptions(members), transport, clock, source);
     peers.start();
-    if (group != null) {
-      startOrders(machine);
+    if (controlRole != null) {
+      controlRole.startOrders(system, peers, control, utc, timer);
     }
-    front = new HttpFront(system, settings, endpoints(), open);
+    front = new HttpFront(system, settings, endpoints(group), open);
     front.start().toCompletableFuture().get(10, TimeUnit.SECONDS);
     metrics.gauge("open_requests", "Requests whose answer is not complete", open::count);
     metrics.gauge("config_revision", "Revision in force", () -> peers.configView().revision());
@@ -160,24 +146,6 @@
         .withFallback(ConfigFactory.load());
   }
 
-  private ControlGroup openGroup(ControlStateMachine machine) throws IOException {
-    Map<String, String> members =
-        settings.controlMembers().stream()
-            .collect(
-                ImmutableSortedMap.toImmutableSortedMap(
-                    String::compareTo,
-                    Settings.ControlMember::host,
-                    Settings.ControlMember::address));
-    Path folder = settings.dataFolder().orElseThrow().resolve("control");
-    return ControlGroup.open(
-        ControlSettings.of(settings.host(), members),
-        new FolderDisk(folder),
-        machine,
-        transport,
-        clock,
-        seed);
-  }
-
   private PeerOptions peerOptions(List<String> controlAddresses) {
     return new PeerOptions(
         settings.host(),
@@ -189,36 +157,7 @@
         seed);
   }
 
-  private void startOrders(ControlStateMachine machine) {
-    OrderSettings orders =
-        new OrderSettings(
-            Timing.REGION.leaseMillis(),
-            settings.orders().timeoutMillis(),
-            settings.orders().weightLoadsPerMinute(),
-            WEIGHT_LOAD_BURST,
-            ORDER_ATTEMPTS);
-    OrderService service =
-        new OrderService(
-            new OrderController(orders),
-            group::status,
-            machine::queuedOrders,
-            this::engine,
-            new ServiceClient(system),
-            control,
-            new OrderService.Clocks(clock, utc),
-            settings.orders().timeoutMillis());
-    RouterRole.every(timer, ORDER_TICK_MILLIS, service::tick);
-  }
-
-  private Optional<OrderService.Engine> engine(String name) {
-    return peers.upstreams().entries().stream()
-        .map(UpstreamEntry::announcement)
-        .filter(a -> a.name().equals(name) && a.kind() == UpstreamAnnouncement.Kind.ENGINE)
-        .map(a -> new OrderService.Engine(a.address(), a.checksFencing()))
-        .findFirst();
-  }
-
-  private List<Endpoint> endpoints() {
+  private List<Endpoint> endpoints(ControlGroup group) {
     List<Endpoint> out = new ArrayList<>();
     out.add(new PlatformEndpoint(metrics, this::notReadyReasons));
     FleetReport fleet = new FleetReport(settings, peers, group, clock);
@@ -319,10 +258,8 @@
     if (settings.has(Role.ROUTER) && !peers.configConfirmed()) {
       reasons.add("the configuration was not checked with the control group");
     }
-    if (group != null && !group.status().isReady()) {
-      String fault = group.status().diskFault();
-      reasons.add(
-          "the control member is not ready" + (fault.isEmpty() ? "" : ": disk fault: " + fault));
+    if (controlRole != null) {
+      reasons.addAll(controlRole.notReadyReasons());
     }
     return reasons;
   }
@@ -371,8 +308,8 @@
   private void close() {
     timer.shutdownNow();
     peers.close();
-    if (group != null) {
-      group.close();
+    if (controlRole != null) {
+      controlRole.close();
     }
     transport.close();
     system.terminate();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
@@ -20,7 +20,6 @@
 import org.goldcrestfall.core.budget.GrantPolicy;
 import org.goldcrestfall.core.budget.Reservation;
 import org.goldcrestfall.core.budget.SettlementQueue;
-import org.goldcrestfall.core.common.ErrorKind;
 import org.goldcrestfall.core.common.Incarnation;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.common.RequestFailure;
@@ -28,6 +27,7 @@
 import org.goldcrestfall.core.control.ControlCommand;
 import org.goldcrestfall.core.control.ControlReply;
 import org.goldcrestfall.core.control.Tradeoff;
+import org.goldcrestfall.daemon.budget.WaitingRequests.Waiter;
 import org.goldcrestfall.daemon.control.ControlService;
 
 /**
@@ -54,7 +54,7 @@
   private final ControlService control;
   private final Function<String, Tradeoff> tradeoffs;
   private final MillisClock clock;
-  private final Map<String, List<Waiter>> waiters = new HashMap<>();
+  private final WaitingRequests waiting = new WaitingRequests(MAX_WAITERS);
   private final Map<String, Long> asked = new HashMap<>();
   private final Map<BillingRecord, CompletableFuture<Void>> unsettled = new IdentityHashMap<>();
   private final Map<String, Long> answeredMillis = new HashMap<>();
@@ -64,9 +64,6 @@
   private boolean settling;
   private boolean draining;
 
-  private record Waiter(
-      ReservedTokens reservation, CompletableFuture<ReservedTokens> future, long sinceMillis) {}
-
   /**
    * Creates the service of one incarnation.
    *
@@ -108,12 +105,8 @@
       policy.demand(workspace, tokens, now);
       if (ledger.reserve(workspace, tokens) == Reservation.RESERVED) {
         future.complete(r);
-      } else {
-        List<Waiter> queue = waiters.computeIfAbsent(workspace, w -> new ArrayList<>());
-        if (queue.size() >= MAX_WAITERS) {
-          return CompletableFuture.failedFuture(exhausted(workspace));
-        }
-        queue.add(new Waiter(r, future, now));
+      } else if (!waiting.add(new Waiter(r, future, now))) {
+        return CompletableFuture.failedFuture(BudgetRefusals.tooManyWaiting(workspace));
       }
     }
     // Also after a success, because the watermark is raised before the use comes up to it.
@@ -165,7 +158,7 @@
    */
   public synchronized Map<String, Long> shortages() {
     Map<String, Long> out = new HashMap<>();
-    for (String w : waiters.keySet()) {
+    for (String w : waiting.workspaces()) {
       long lack = lacking(w);
       if (lack > 0) {
         out.put(w, policy.askPeer(w, lack, clock.nowMillis()));
@@ -191,7 +184,7 @@
     Set<String> workspaces;
     synchronized (this) {
       workspaces = new HashSet<>(ledger.workspaces());
-      workspaces.addAll(waiters.keySet());
+      workspaces.addAll(waiting.workspaces());
     }
     for (String w : workspaces) {
       serveWaiters(w);
@@ -260,24 +253,11 @@
   }
 
   private synchronized List<Waiter> takeWaiters(String workspace, Predicate<Waiter> condition) {
-    List<Waiter> queue = waiters.get(workspace);
-    if (queue == null) {
-      return List.of();
-    }
-    List<Waiter> taken = queue.stream().filter(condition).toList();
-    queue.removeAll(taken);
-    if (queue.isEmpty()) {
-      waiters.remove(workspace);
-    }
-    return taken;
+    return waiting.take(workspace, condition);
   }
 
   private long lacking(String workspace) {
-    long sum = 0;
-    for (Waiter w : waiters.getOrDefault(workspace, List.of())) {
-      sum += w.reservation().tokens();
-    }
-    return Math.max(0, sum - ledger.available(workspace));
+    return Math.max(0, waiting.tokens(workspace) - ledger.available(workspace));
   }
 
   private void askForGrant(String workspace) {
@@ -400,28 +380,16 @@
     }
   }
 
-  /** Without an answer to a grant it is not known that the budget is exhausted. */
   private synchronized RequestFailure refusal(String workspace, Waiter w) {
     long available = ledger.available(workspace);
     logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
         "budget: refused %s tokens of %s: %s available, grant under way: %s",
         w.reservation().tokens(), workspace, available, ledger.hasPendingGrant(workspace));
     if (available >= w.reservation().tokens()) {
-      return new RequestFailure(
-          ErrorKind.OVERLOADED, "The disk of this router is too slow to cover the request.");
+      return BudgetRefusals.slowDisk();
     }
     return answeredMillis.getOrDefault(workspace, Long.MIN_VALUE) >= w.sinceMillis()
-        ? exhausted(workspace)
-        : new RequestFailure(
-            ErrorKind.NO_QUORUM,
-            "This router holds too few tokens of workspace "
-                + workspace
-                + ", and the control group does not answer.");
-  }
-
-  private static RequestFailure exhausted(String workspace) {
-    return new RequestFailure(
-        ErrorKind.BUDGET_EXHAUSTED,
-        "The budget of workspace " + workspace + " does not cover the request.");
+        ? BudgetRefusals.exhausted(workspace)
+        : BudgetRefusals.unanswered(workspace);
   }
 }
