Count resumed streams, and remove two unused methods

Cause: streams_resumed_total is documented for operators, but nothing counted it, so it was always 0; AnswerService.state and BudgetService.totals had no caller. Change: RetryGate, which already counts retries, counts the ones that resume a stream; the two methods are gone.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/answer/AnswerService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/answer/AnswerService.java
@@ -50,11 +50,6 @@
     return store.begin(key, bodyHash, clock.nowMillis());
   }
 
-  /** Returns the state of an answer on this router. */
-  public synchronized Optional<AnswerState> state(AnswerKey key) {
-    return store.state(key);
-  }
-
   /**
    * Returns the next part of an answer, as soon as there is one. Fails with {@link RequestFailure}
    * if the answer was abandoned or is no longer kept.
--- a/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/budget/BudgetService.java
@@ -16,7 +16,6 @@
 import java.util.function.Function;
 import java.util.function.Predicate;
 import org.goldcrestfall.core.budget.AllotmentLedger;
-import org.goldcrestfall.core.budget.AllotmentTotals;
 import org.goldcrestfall.core.budget.GrantPolicy;
 import org.goldcrestfall.core.budget.Reservation;
 import org.goldcrestfall.core.budget.SettlementQueue;
@@ -167,13 +166,6 @@
     return out;
   }
 
-  /** Returns the totals of each workspace. */
-  public synchronized Map<String, AllotmentTotals> totals() {
-    Map<String, AllotmentTotals> out = new HashMap<>();
-    ledger.workspaces().forEach(w -> out.put(w, ledger.totals(w)));
-    return out;
-  }
-
   /** Returns the number of billing records that the control group has not acknowledged. */
   public synchronized int unsettledRecords() {
     return settlements.size();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/RetryGate.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/RetryGate.java
@@ -30,6 +30,9 @@
     RetryDecision d = policy.decide(f, clock.nowMillis());
     if (d.retry()) {
       metrics.retry(f.sent() ? "failed" : "not_sent");
+      if (f.resumes()) {
+        metrics.streamResumed();
+      }
     }
     return d;
   }
