--- a/core/src/main/java/org/goldcrestfall/core/common/ErrorKind.java
+++ b/core/src/main/java/org/goldcrestfall/core/common/ErrorKind.java
@@ -25,11 +25,19 @@
   BUDGET_EXHAUSTED(402, NOT_RUN, false),
   RATE_LIMITED(429, NOT_RUN, true),
   CONCURRENCY_LIMITED(429, NOT_RUN, true),
+  REQUEST_TIMEOUT(408, NOT_RUN, true),
   OVERLOADED(503, NOT_RUN, true),
   DEADLINE_UNREACHABLE(503, NOT_RUN, true),
   NO_UPSTREAM(503, NOT_RUN, true),
   NO_QUORUM(503, NOT_RUN, true),
   DRAINING(503, NOT_RUN, true),
+  /** The router has no configuration yet. */
+  NOT_CONFIGURED(503, NOT_RUN, true),
+  /**
+   * The router holds too few prepaid tokens and reaches nobody who could tell whether some are
+   * left.
+   */
+  BUDGET_UNAVAILABLE(503, NOT_RUN, true),
   UPSTREAM_FAILED(502, RAN, true),
   DEADLINE_EXCEEDED(504, RAN, true),
   BOOKING_IN_PROGRESS(409, UNKNOWN_OUTCOME, true),
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Consensus.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Consensus.java
@@ -22,11 +22,28 @@
    * @param seed the seed of the election timeouts
    */
   public Consensus(String self, Stored stored, Timing timing, long seed, long nowMillis) {
-    this(self, stored, timing, Limits.DEFAULT, seed, nowMillis);
+    this(self, stored, timing, GroupPolicy.FIXED, seed, nowMillis);
+  }
+
+  /** Starts a member of a group with a policy. */
+  public Consensus(
+      String self, Stored stored, Timing timing, GroupPolicy policy, long seed, long nowMillis) {
+    this(self, stored, timing, policy, Limits.DEFAULT, seed, nowMillis);
   }
 
   Consensus(String self, Stored stored, Timing timing, Limits limits, long seed, long nowMillis) {
-    replica = new Replica(self, stored, timing, limits, seed, nowMillis);
+    this(self, stored, timing, GroupPolicy.FIXED, limits, seed, nowMillis);
+  }
+
+  Consensus(
+      String self,
+      Stored stored,
+      Timing timing,
+      GroupPolicy policy,
+      Limits limits,
+      long seed,
+      long nowMillis) {
+    replica = new Replica(self, stored, timing, policy, limits, seed, nowMillis);
     follower = new Follower(replica);
     election = new Election(replica);
   }
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Effect.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Effect.java
@@ -27,6 +27,15 @@
   /** Replaces the state machine's state. */
   record Restore(Snapshot snapshot) implements Effect {}
 
+  /**
+   * The reply to a proposal, which {@link Apply} gives next, waits for {@link Release}, because too
+   * few members have its entry on disk.
+   */
+  record Hold(long proposal) implements Effect {}
+
+  /** The reply to a held proposal may be given. */
+  record Release(long proposal) implements Effect {}
+
   /**
    * A proposal has no reply here. If {@code unknown} is false, it was not and will not be committed
    * from here.
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Leader.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Leader.java
@@ -61,7 +61,7 @@
   }
 
   void read(long id) {
-    if (hasLease(replica.now)) {
+    if (replica.policy.leaseReads() && hasLease(replica.now)) {
       replica.emit(new Effect.ReadReady(id));
       return;
     }
@@ -278,8 +278,8 @@
   }
 
   private void advanceCommit() {
-    long index =
-        members().quorumValue(m -> isSelf(m.id()) ? replica.durable : others.get(m.id()).match);
+    proposals.copied(copiedIndex(), replica);
+    long index = members().quorumValue(this::durableIndex);
     // Only an entry of the own term shows that a later leader must have it.
     if (index > replica.commit && replica.log.termAt(index) == replica.term()) {
       replica.commitTo(index, proposals);
@@ -288,6 +288,17 @@
     }
   }
 
+  /** Returns the index up to which as many members as the policy asks for have the log. */
+  private long copiedIndex() {
+    long[] indexes = members().all().stream().mapToLong(this::durableIndex).sorted().toArray();
+    int copies = replica.policy.copies();
+    return indexes.length < copies ? 0 : indexes[indexes.length - copies];
+  }
+
+  private long durableIndex(Member m) {
+    return isSelf(m.id()) ? replica.durable : others.get(m.id()).match;
+  }
+
   private long ackedAt(String id) {
     return isSelf(id) ? replica.now : others.get(id).ackedAt;
   }
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Membership.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Membership.java
@@ -7,10 +7,14 @@
  * Membership changes of one leadership, one at a time. A host that lost its disk joins as a learner
  * under a new id; once its log has reached the commit index, its old id is removed and then the
  * learner gets the vote. A member that answers is not replaced, so that two processes under one
- * host name do not take turns.
+ * host name do not take turns. In an open group any host joins this way, and a voter that is lost
+ * is removed once another host has taken its place.
  */
 final class Membership {
 
+  /** A voter of an open group that has not answered for so long is taken for lost. */
+  private static final long LOST_MILLIS = 4_000;
+
   private final Replica replica;
   private final Leader leader;
   private final TreeMap<String, Member> joining = new TreeMap<>();
@@ -53,6 +57,20 @@
         }
       }
     }
+    removeLostVoter();
+  }
+
+  /**
+   * Removes a voter that is lost from an open group of an even size. Such a group bears no more
+   * losses than one with a voter less, so nothing is given up, and a group of odd size keeps its
+   * lost voters until a new host has joined.
+   */
+  private void removeLostVoter() {
+    if (!replica.policy.open() || members().voters().count() % 2 != 0) {
+      return;
+    }
+    Optional<Member> lost = members().voters().filter(v -> isSilentFor(v, LOST_MILLIS)).findFirst();
+    lost.ifPresent(m -> leader.change(members().without(m.id())));
   }
 
   private boolean isCaughtUp(Member learner) {
@@ -66,8 +84,12 @@
 
   /** Returns whether a member is this one or has just answered. */
   private boolean answers(Member member) {
+    return !isSilentFor(member, replica.timing.electionMinMillis());
+  }
+
+  private boolean isSilentFor(Member member, long millis) {
     Progress p = leader.progress(member.id());
-    return p == null || p.ackedAt + replica.timing.electionMinMillis() > replica.now;
+    return p != null && p.ackedAt + millis <= replica.now;
   }
 
   private Members members() {
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Replica.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Replica.java
@@ -20,6 +20,7 @@
 
   final String self;
   final Timing timing;
+  final GroupPolicy policy;
   final Limits limits;
   final Log log;
   private final UniformRandomProvider random;
@@ -40,7 +41,15 @@
   long electionAt;
   long now;
 
-  Replica(String self, Stored stored, Timing timing, Limits limits, long seed, long nowMillis) {
+  Replica(
+      String self,
+      Stored stored,
+      Timing timing,
+      GroupPolicy policy,
+      Limits limits,
+      long seed,
+      long nowMillis) {
+    this.policy = policy;
     this.limits = limits;
     this.self = self;
     this.timing = timing;
@@ -172,7 +181,8 @@
   void commitTo(long index, Proposals replies) {
     while (commit < index) {
       Entry entry = log.get(++commit);
-      emit(new Effect.Apply(entry, replies == null ? 0 : replies.take(commit)));
+      long proposal = replies == null ? 0 : replies.take(commit, this);
+      emit(new Effect.Apply(entry, proposal));
     }
   }
 }
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Timing.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Timing.java
@@ -12,6 +12,9 @@
   /** The times for hosts of one region. */
   public static final Timing REGION = new Timing(100, 800, 1_600, 600);
 
+  /** The times for small hosts of one region, which wake up seldom. */
+  public static final Timing SMALL_HOSTS = new Timing(200, 900, 1_700, 700);
+
   /** Checks the arguments. */
   public Timing {
     checkArgument(heartbeatMillis > 0, "heartbeat must be positive: %s", heartbeatMillis);
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/UpstreamLoad.java
@@ -0,0 +1,200 @@
+package org.goldcrestfall.core.dispatch;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+
+/**
+ * What one router knows of one upstream: its own requests there, the load that answers report, the
+ * times of answers, failures, and the prompt parts that it has sent there. Not thread-safe.
+ */
+public final class UpstreamLoad {
+
+  /** A reported load is used so long. */
+  private static final long REPORT_MILLIS = 1_500;
+
+  /** First pause after a failure; doubles with each further one in a row. */
+  private static final long MIN_PAUSE_MILLIS = 250;
+
+  private static final long MAX_PAUSE_MILLIS = 4_000;
+
+  /** An upstream that owes answers and has sent nothing for so long is taken for silent. */
+  private static final long SILENCE_MILLIS = 700;
+
+  /** Weight of a new sample in the moving averages. */
+  private static final double SAMPLE_WEIGHT = 0.2;
+
+  /** The averages of failures and slowness halve in this time without samples. */
+  private static final double HALF_LIFE_MILLIS = 4_000;
+
+  private static final int MAX_PARTS = 4_000;
+
+  private final String id;
+  private final String zone;
+  private final Map<String, Long> parts =
+      new LinkedHashMap<>(16, 0.75f, true) {
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_PARTS;
+        }
+      };
+
+  private int running;
+  private long promptBacklog;
+  private int reportedRunning;
+  private int reportedWaiting;
+  private long reportedAt = Long.MIN_VALUE / 2;
+  private int sentSinceReport;
+  private int slots;
+  private int failuresInRow;
+  private long pausedUntil = Long.MIN_VALUE / 2;
+  private long heardAt;
+  private double failureShare;
+  private double slowness = 1;
+  private long averagedAt;
+
+  /** Creates the record of an upstream that nothing is known of. */
+  public UpstreamLoad(String id, String zone, int slots, long nowMillis) {
+    this.id = id;
+    this.zone = zone;
+    this.slots = slots;
+    averagedAt = nowMillis;
+    heardAt = nowMillis;
+  }
+
+  /** Counts a request that is sent. */
+  public void onSend(Workload workload, long uncachedTokens, long nowMillis) {
+    if (running == 0) {
+      heardAt = nowMillis;
+    }
+    running++;
+    sentSinceReport++;
+    promptBacklog += uncachedTokens;
+    // The last part is the request's own and no other request can use it.
+    for (int i = 0; i + 1 < workload.parts().size(); i++) {
+      parts.put(workload.parts().get(i).id(), workload.parts().get(i).tokens());
+    }
+  }
+
+  /** Ends the wait for the first part of an answer. */
+  public void onFirstByte(long uncachedTokens) {
+    promptBacklog -= uncachedTokens;
+  }
+
+  /** Ends a request, however it ended. */
+  public void onEnd() {
+    running--;
+  }
+
+  /** Notes that bytes have arrived. */
+  public void onBytes(long nowMillis) {
+    heardAt = nowMillis;
+  }
+
+  /** Takes the load that an answer reports. */
+  public void onReport(int nowRunning, int nowWaiting, int nowSlots, long nowMillis) {
+    reportedRunning = nowRunning;
+    reportedWaiting = nowWaiting;
+    reportedAt = nowMillis;
+    sentSinceReport = 0;
+    if (nowSlots > 0) {
+      slots = nowSlots;
+    }
+  }
+
+  /** Counts an answer that came whole; {@code ratio} is its time against the expected one. */
+  public void onSuccess(double ratio, long nowMillis) {
+    average(nowMillis);
+    failuresInRow = 0;
+    pausedUntil = Long.MIN_VALUE / 2;
+    failureShare *= 1 - SAMPLE_WEIGHT;
+    slowness += SAMPLE_WEIGHT * (Math.min(ratio, 20) - slowness);
+  }
+
+  /** Counts a failed request of an upstream that still answers others. */
+  public void onFailure(long nowMillis) {
+    average(nowMillis);
+    failureShare += SAMPLE_WEIGHT * (1 - failureShare);
+  }
+
+  /** Counts a connection that could not be opened or broke; the upstream rests for a time. */
+  public void onUnreachable(long nowMillis) {
+    onFailure(nowMillis);
+    long pause = Math.min(MAX_PAUSE_MILLIS, MIN_PAUSE_MILLIS << Math.min(failuresInRow, 5));
+    failuresInRow++;
+    pausedUntil = nowMillis + pause;
+  }
+
+  private void average(long nowMillis) {
+    double keep = Math.pow(0.5, (nowMillis - averagedAt) / HALF_LIFE_MILLIS);
+    averagedAt = nowMillis;
+    failureShare *= keep;
+    slowness = 1 + (slowness - 1) * keep;
+  }
+
+  /** Returns the tokens of a prompt that this router has not sent here before. */
+  public long uncachedTokens(Workload workload) {
+    long cached = 0;
+    for (PromptPart p : workload.parts()) {
+      if (!parts.containsKey(p.id())) {
+        break;
+      }
+      cached += p.tokens();
+    }
+    return Math.max(0, workload.promptTokens() - cached);
+  }
+
+  /** Returns whether the upstream is not expected to answer at present. */
+  public boolean isPaused(long nowMillis) {
+    return nowMillis < pausedUntil || isSilent(nowMillis);
+  }
+
+  /** Returns whether the upstream owes answers and has sent nothing for long. */
+  public boolean isSilent(long nowMillis) {
+    return running > 0 && nowMillis - heardAt > SILENCE_MILLIS;
+  }
+
+  /** Returns the requests in the upstream as far as known, this router's included. */
+  public int load(long nowMillis) {
+    if (nowMillis - reportedAt > REPORT_MILLIS) {
+      return running;
+    }
+    return Math.max(running, reportedRunning + reportedWaiting + sentSinceReport);
+  }
+
+  /** Returns the share of recent requests that failed, and its decay over time. */
+  public double failureShare(long nowMillis) {
+    average(nowMillis);
+    return failureShare;
+  }
+
+  /** Returns the time of recent answers against the expected one. */
+  public double slowness(long nowMillis) {
+    average(nowMillis);
+    return slowness;
+  }
+
+  /** Returns the prompt tokens of this router's requests that have no answer yet. */
+  public long promptBacklog() {
+    return promptBacklog;
+  }
+
+  /** Returns this router's requests there. */
+  public int running() {
+    return running;
+  }
+
+  /** Returns the requests that the upstream works on at the same time. */
+  public int slots() {
+    return slots;
+  }
+
+  /** Returns the upstream's id. */
+  public String id() {
+    return id;
+  }
+
+  /** Returns the availability zone. */
+  public String zone() {
+    return zone;
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/Workload.java
@@ -0,0 +1,26 @@
+package org.goldcrestfall.core.dispatch;
+
+import com.google.common.collect.ImmutableList;
+
+/**
+ * What a request says of its size.
+ *
+ * @param promptTokens the tokens to be read; 0 for a plain service
+ * @param maxOutputTokens the most tokens that the answer may have
+ * @param parts the parts of the prompt in order; the last one is the request's own
+ */
+public record Workload(long promptTokens, long maxOutputTokens, ImmutableList<PromptPart> parts) {
+
+  /** A call of a plain service. */
+  public static final Workload PLAIN = new Workload(0, 0, ImmutableList.of());
+
+  /** Returns the most tokens that the request can consume. */
+  public long maxTokens() {
+    return promptTokens + maxOutputTokens;
+  }
+
+  /** Returns the id of the last part that other requests can share, or an empty string. */
+  public String sharedKey() {
+    return parts.size() < 2 ? "" : parts.get(parts.size() - 2).id();
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/gateway/GatewayConfiguration.java
@@ -0,0 +1,137 @@
+package org.goldcrestfall.core.gateway;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableMap;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+
+/** A complete and valid configuration of the gateway. Lookups are indexed; immutable. */
+public final class GatewayConfiguration {
+
+  private final long version;
+  private final ImmutableList<Route> routes;
+  private final ImmutableMap<String, ServiceSettings> services;
+  private final ClientLimits limits;
+  private final ImmutableList<WorkspaceSettings> workspaces;
+  private final Map<String, List<Route>> routesByHost = new HashMap<>();
+  private final Map<String, WorkspaceSettings> workspacesByKey = new HashMap<>();
+
+  /**
+   * Checks and indexes a configuration.
+   *
+   * @throws InvalidConfigurationException if a route names an unknown service, has no weight or no
+   *     timeout, shares its place with another one, or if two workspaces share a key
+   */
+  public GatewayConfiguration(
+      long version,
+      List<Route> routes,
+      Map<String, ServiceSettings> services,
+      ClientLimits limits,
+      List<WorkspaceSettings> workspaces)
+      throws InvalidConfigurationException {
+    this.version = version;
+    this.routes = ImmutableList.copyOf(routes);
+    this.services = ImmutableMap.copyOf(services);
+    this.limits = limits;
+    this.workspaces = ImmutableList.copyOf(workspaces);
+    indexRoutes();
+    indexKeys();
+  }
+
+  private void indexRoutes() throws InvalidConfigurationException {
+    Set<String> places = new HashSet<>();
+    for (Route r : routes) {
+      check(r);
+      if (!places.add(r.host() + r.pathPrefix())) {
+        throw new InvalidConfigurationException(
+            "Two routes share the host and prefix " + r.host() + r.pathPrefix() + ".");
+      }
+      routesByHost.computeIfAbsent(r.host(), h -> new ArrayList<>()).add(r);
+    }
+    for (List<Route> sameHost : routesByHost.values()) {
+      sameHost.sort(Comparator.comparingInt((Route r) -> r.pathPrefix().length()).reversed());
+    }
+  }
+
+  private void check(Route r) throws InvalidConfigurationException {
+    if (r.timeoutMillis() <= 0) {
+      throw new InvalidConfigurationException("Route " + r.name() + " has no timeout.");
+    }
+    if (!r.pathPrefix().startsWith("/") || !r.pathPrefix().endsWith("/")) {
+      throw new InvalidConfigurationException(
+          "The prefix of route " + r.name() + " does not begin and end with a slash.");
+    }
+    long weight = 0;
+    for (WeightedService s : r.split()) {
+      if (!services.containsKey(s.service())) {
+        throw new InvalidConfigurationException(
+            "Route " + r.name() + " names the unknown service " + s.service() + ".");
+      }
+      if (s.weight() < 0) {
+        throw new InvalidConfigurationException("Route " + r.name() + " has a negative weight.");
+      }
+      weight += s.weight();
+    }
+    if (weight == 0) {
+      throw new InvalidConfigurationException("The weights of route " + r.name() + " add up to 0.");
+    }
+  }
+
+  private void indexKeys() throws InvalidConfigurationException {
+    for (WorkspaceSettings w : workspaces) {
+      for (String key : w.keys()) {
+        WorkspaceSettings other = workspacesByKey.put(key, w);
+        if (other != null && !other.name().equals(w.name())) {
+          throw new InvalidConfigurationException(
+              "The workspaces " + other.name() + " and " + w.name() + " share a key.");
+        }
+      }
+    }
+  }
+
+  /** Returns the operator's version. */
+  public long version() {
+    return version;
+  }
+
+  /** Returns the limits on callers. */
+  public ClientLimits limits() {
+    return limits;
+  }
+
+  /** Returns all routes. */
+  public ImmutableList<Route> routes() {
+    return routes;
+  }
+
+  /** Returns the services by name. */
+  public ImmutableMap<String, ServiceSettings> services() {
+    return services;
+  }
+
+  /** Returns all workspaces; without any, requests need no key. */
+  public ImmutableList<WorkspaceSettings> workspaces() {
+    return workspaces;
+  }
+
+  /** Returns the route with the longest prefix of a path, without a query, at a host. */
+  public Optional<Route> findRoute(String host, String path) {
+    for (Route r : routesByHost.getOrDefault(host, List.of())) {
+      if (path.startsWith(r.pathPrefix())) {
+        return Optional.of(r);
+      }
+    }
+    return Optional.empty();
+  }
+
+  /** Returns the workspace that holds a key. */
+  public Optional<WorkspaceSettings> findWorkspace(String key) {
+    return Optional.ofNullable(workspacesByKey.get(key));
+  }
+}
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
@@ -0,0 +1,115 @@
+package org.goldcrestfall.core.prepaid;
+
+/**
+ * One workspace's tokens at one router incarnation. A request reserves its largest size before it
+ * is sent and settles what it used; the rest stays free. Not thread-safe.
+ */
+public final class PrepaidAccount {
+
+  /** Time constant of the measured demand. */
+  private static final double DEMAND_WINDOW_MILLIS = 8_000;
+
+  private long grantedTotal;
+  private long returnedTotal;
+  private long free;
+  private long reserved;
+  private long spent;
+  private double demandPerMilli;
+  private long demandAt;
+  private long ledgerAvailable = -1;
+  private long ledgerAt;
+
+  /** Takes a grant; {@code total} is the sum of all grants, so a repeat changes nothing. */
+  public void granted(long total, long available, long nowMillis) {
+    if (total > grantedTotal) {
+      free += total - grantedTotal;
+      grantedTotal = total;
+    }
+    ledgerAvailable = available;
+    ledgerAt = nowMillis;
+  }
+
+  /** Reserves tokens if they are free. */
+  public boolean reserve(long tokens) {
+    if (tokens > free) {
+      return false;
+    }
+    free -= tokens;
+    reserved += tokens;
+    return true;
+  }
+
+  /** Ends a reservation of which {@code used} tokens were consumed. */
+  public void settle(long reservedTokens, long used) {
+    long taken = Math.min(used, reservedTokens);
+    reserved -= reservedTokens;
+    spent += taken;
+    free += reservedTokens - taken;
+  }
+
+  /** Counts a request's largest size as demand, whether it can be served or not. */
+  public void demand(long tokens, long nowMillis) {
+    decay(nowMillis);
+    demandPerMilli += tokens / DEMAND_WINDOW_MILLIS;
+  }
+
+  /** Returns the tokens that the recent demand takes in a time. */
+  public long expectedDemand(long millis, long nowMillis) {
+    decay(nowMillis);
+    return (long) (demandPerMilli * millis);
+  }
+
+  private void decay(long nowMillis) {
+    demandPerMilli *= Math.exp((demandAt - nowMillis) / DEMAND_WINDOW_MILLIS);
+    demandAt = nowMillis;
+  }
+
+  /** Gives up to {@code tokens} to another router; returns what was given. */
+  public long lend(long tokens) {
+    long given = Math.max(0, Math.min(tokens, free));
+    free -= given;
+    return given;
+  }
+
+  /** Takes what another router has given. */
+  public void borrowed(long tokens) {
+    free += tokens;
+  }
+
+  /** Returns free tokens to the ledger by raising the sum of returns. */
+  public void giveBack(long tokens) {
+    long given = Math.max(0, Math.min(tokens, free));
+    free -= given;
+    returnedTotal += given;
+  }
+
+  /** Returns the tokens that are neither reserved nor spent. */
+  public long free() {
+    return free;
+  }
+
+  /** Returns the tokens of running requests. */
+  public long reserved() {
+    return reserved;
+  }
+
+  /** Returns the tokens that requests have consumed here. */
+  public long spent() {
+    return spent;
+  }
+
+  /** Returns the sum of all returns. */
+  public long returnedTotal() {
+    return returnedTotal;
+  }
+
+  /** Returns what no router held as of the last answer of the ledger, or -1 before the first. */
+  public long ledgerAvailable() {
+    return ledgerAvailable;
+  }
+
+  /** Returns when the ledger last answered. */
+  public long ledgerAt() {
+    return ledgerAt;
+  }
+}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlClient.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.daemon.control;
 
+import com.google.common.base.Suppliers;
 import com.google.common.collect.ImmutableList;
 import com.google.protobuf.ByteString;
 import java.net.ConnectException;
@@ -7,6 +8,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.goldcrestfall.core.common.ErrorKind;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.common.RequestFailure;
@@ -24,7 +26,7 @@
   private static final long ATTEMPT_MILLIS = 1_000;
   private static final long PAUSE_MILLIS = 50;
 
-  private final ImmutableList<String> addresses;
+  private final Supplier<List<String>> addresses;
   private final PeerTransport transport;
   private final MillisClock clock;
   private final ControlGroup local;
@@ -38,11 +40,25 @@
    */
   public ControlClient(
       List<String> addresses, PeerTransport transport, MillisClock clock, ControlGroup local) {
-    this.addresses = ImmutableList.copyOf(addresses);
+    this(Suppliers.ofInstance(ImmutableList.copyOf(addresses)), transport, clock, local);
+  }
+
+  /**
+   * Creates a client of a group whose members change.
+   *
+   * @param addresses supplies the peer addresses of the control members; at least one
+   * @param local the member in this process, or null
+   */
+  public ControlClient(
+      Supplier<List<String>> addresses,
+      PeerTransport transport,
+      MillisClock clock,
+      ControlGroup local) {
+    this.addresses = addresses;
     this.transport = transport;
     this.clock = clock;
     this.local = local;
-    leader = local == null ? addresses.get(0) : local.address();
+    leader = local == null ? addresses.get().get(0) : local.address();
   }
 
   /**
@@ -153,7 +169,8 @@
     }
 
     private String nextAddress(String address) {
-      return addresses.get((addresses.indexOf(address) + 1) % addresses.size());
+      List<String> all = addresses.get();
+      return all.get((all.indexOf(address) + 1) % all.size());
     }
 
     private void later(String address) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlGroup.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlGroup.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.RejectedExecutionException;
@@ -43,7 +44,10 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TICK_MILLIS = 20;
+  private static final int TICKS_PER_HEARTBEAT = 4;
   private static final int MAX_PENDING = 10_000;
+  private static final int MAX_LEARNED_ADDRESSES = 100;
+  private static final byte[] NO_REPLY = new byte[0];
 
   private final ControlSettings settings;
   private final StateMachine machine;
@@ -55,6 +59,8 @@
   private final ScheduledThreadPoolExecutor executor;
   private final StorageThread storage;
   private final Map<Long, CompletableFuture<byte[]>> proposals = new HashMap<>();
+  private final Map<String, String> learnedAddresses = new HashMap<>();
+  private final Map<Long, byte[]> heldReplies = new HashMap<>();
   private final Map<Long, PendingQuery> queries = new HashMap<>();
   private final List<Consumer<ControlStatus>> listeners = new CopyOnWriteArrayList<>();
   private Consensus consensus;
@@ -123,10 +129,14 @@
       machine.restore(stored.snapshot().data());
     }
     applied = stored.snapshot().lastIndex();
-    consensus = new Consensus(identity.id(), stored, settings.timing(), seed, clock.nowMillis());
+    consensus = member(stored);
     publish();
     executor.scheduleWithFixedDelay(
-        () -> handle(new Event.Tick()), TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        () -> handle(new Event.Tick()), tickMillis(), tickMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private long tickMillis() {
+    return Math.max(TICK_MILLIS, settings.timing().heartbeatMillis() / TICKS_PER_HEARTBEAT);
   }
 
   /** Submits a command to this member; fails with {@link NotLeaderException} if it cannot lead. */
@@ -208,16 +218,15 @@
     Snapshot initial = Snapshot.initial(new Members(members));
     folder.writeInitial(initial);
     logger.atInfo().log("consensus: forming a group of %s", members);
-    consensus =
-        new Consensus(
-            identity.id(),
-            new Stored(HardState.INITIAL, initial, List.of()),
-            settings.timing(),
-            seed,
-            clock.nowMillis());
+    consensus = member(new Stored(HardState.INITIAL, initial, List.of()));
     publish();
   }
 
+  private Consensus member(Stored stored) {
+    return new Consensus(
+        identity.id(), stored, settings.timing(), settings.policy(), seed, clock.nowMillis());
+  }
+
   private void execute(Runnable task, CompletableFuture<byte[]> reply) {
     try {
       executor.execute(task);
@@ -266,11 +275,16 @@
       machine.restore(e.snapshot().data());
       applied = e.snapshot().lastIndex();
     } else if (effect instanceof Effect.ProposalFailed e) {
+      heldReplies.remove(e.id());
       CompletableFuture<byte[]> reply = proposals.remove(e.id());
       reply.completeExceptionally(
           e.unknown()
               ? new UnknownOutcomeException("the leadership ended before the commit was known")
               : new NotLeaderException(leaderAddress()));
+    } else if (effect instanceof Effect.Hold e) {
+      heldReplies.put(e.proposal(), NO_REPLY);
+    } else if (effect instanceof Effect.Release e) {
+      proposals.remove(e.proposal()).complete(heldReplies.remove(e.proposal()));
     } else if (effect instanceof Effect.ReadReady e) {
       PendingQuery query = queries.remove(e.id());
       query.reply().complete(machine.query(query.query()));
@@ -288,6 +302,9 @@
     }
     applied = entry.index();
     entriesSinceSnapshot++;
+    if (heldReplies.replace(e.proposal(), reply) != null) {
+      return;
+    }
     if (e.proposal() != 0) {
       proposals.remove(e.proposal()).complete(reply);
     }
@@ -313,6 +330,7 @@
         .forEach(
             r -> r.completeExceptionally(new UnknownOutcomeException("this member has stopped")));
     proposals.clear();
+    heldReplies.clear();
     queries.values().forEach(q -> q.reply().completeExceptionally(new NotLeaderException("")));
     queries.clear();
   }
@@ -326,9 +344,18 @@
         .members()
         .find(memberId)
         .map(Member::address)
+        .or(() -> Optional.ofNullable(learnedAddresses.get(memberId)))
         .orElseGet(() -> settings.members().getOrDefault(hostOf(memberId), ""));
   }
 
+  /** Notes where a member answers, for the time before the member list is known here. */
+  void learnAddress(String memberId, String address) {
+    if (learnedAddresses.size() > MAX_LEARNED_ADDRESSES) {
+      learnedAddresses.clear();
+    }
+    learnedAddresses.put(memberId, address);
+  }
+
   static String hostOf(String memberId) {
     return memberId.substring(0, Math.max(0, memberId.lastIndexOf('#')));
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlHandlers.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlHandlers.java
@@ -66,7 +66,7 @@
     JoinRequest request = body.getJoinRequest();
     ControlStatus status = group.status();
     boolean known =
-        settings.members().containsKey(request.getHost())
+        (settings.policy().open() || settings.members().containsKey(request.getHost()))
             && request.getHost().equals(sender.host())
             && request.getHost().equals(ControlGroup.hostOf(request.getMember()));
     boolean accepted = known && status.role() == Role.LEADER;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/Formation.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/Formation.java
@@ -3,7 +3,9 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
+import java.util.LinkedHashSet;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
@@ -15,8 +17,9 @@
 
 /**
  * Brings a member without state into its group. It asks all others to be added as a learner. The
- * founder, the first host by name, forms a new group instead if all others answer that they have no
- * state either; so a host whose disk was lost cannot form a second group.
+ * founder, the first of the founding hosts, forms a new group instead if all of them answer that
+ * they have no state either; so a host whose disk was lost cannot form a second group. A member of
+ * an open group that has no leader asks too, because it may have been removed while it was away.
  */
 final class Formation {
 
@@ -27,7 +30,11 @@
   private final ControlSettings settings;
   private final PeerTransport transport;
   private final ScheduledThreadPoolExecutor executor;
-  private final Map<String, String> empty = new TreeMap<>();
+
+  /** The founding hosts that have answered that they have no state, by address. */
+  private final Map<String, Member> empty = new TreeMap<>();
+
+  private boolean hadLeader = true;
 
   Formation(ControlGroup group, ControlSettings settings, PeerTransport transport) {
     this.group = group;
@@ -42,36 +49,46 @@
 
   private void ask() {
     // Also later: the entry that added the member may have been overwritten by another leader.
-    if (group.status().members().find(group.identity().id()).isEmpty()) {
+    boolean member = group.status().members().find(group.identity().id()).isPresent();
+    boolean hasLeader = !group.status().leaderAddress().isEmpty();
+    if (!member || settings.policy().open() && !hasLeader && !hadLeader) {
       askOthers();
     }
+    hadLeader = hasLeader;
   }
 
   private void askOthers() {
     empty.clear();
-    empty.put(settings.host(), group.identity().id());
+    empty.put(settings.address(), self());
     JoinRequest request =
         JoinRequest.newBuilder()
             .setHost(settings.host())
             .setAddress(settings.address())
             .setMember(group.identity().id())
             .build();
-    settings
-        .members()
-        .forEach(
-            (host, address) -> {
-              if (!host.equals(settings.host())) {
-                transport
-                    .call(address, Body.newBuilder().setJoinRequest(request).build(), ROUND_MILLIS)
-                    .thenAcceptAsync(body -> answered(host, body.getJoinReply()), executor);
-              }
-            });
+    Set<String> addresses = new LinkedHashSet<>(settings.contacts().get());
+    addresses.addAll(settings.members().values());
+    group.status().members().all().forEach(m -> addresses.add(m.address()));
+    addresses.remove(settings.address());
+    for (String address : addresses) {
+      transport
+          .call(address, Body.newBuilder().setJoinRequest(request).build(), ROUND_MILLIS)
+          .thenAcceptAsync(body -> answered(address, body.getJoinReply()), executor);
+    }
     maybeForm();
   }
 
-  private void answered(String host, JoinReply reply) {
-    if (!reply.getFormed() && ControlGroup.hostOf(reply.getMember()).equals(host)) {
-      empty.put(host, reply.getMember());
+  private Member self() {
+    return new Member(group.identity().id(), settings.host(), settings.address(), true);
+  }
+
+  private void answered(String address, JoinReply reply) {
+    String host = ControlGroup.hostOf(reply.getMember());
+    group.learnAddress(reply.getMember(), address);
+    boolean expected =
+        settings.policy().open() || address.equals(settings.members().getOrDefault(host, ""));
+    if (!reply.getFormed() && expected) {
+      empty.put(address, new Member(reply.getMember(), host, address, true));
       maybeForm();
     }
   }
@@ -80,13 +97,12 @@
     if (!settings.isFounder()
         || group.identity().rejoins()
         || !group.status().members().all().isEmpty()
-        || !empty.keySet().containsAll(settings.members().keySet())) {
+        || !empty.keySet().containsAll(settings.members().values())) {
       return;
     }
     ImmutableList<Member> members =
-        empty.entrySet().stream()
-            .map(
-                e -> new Member(e.getValue(), e.getKey(), settings.members().get(e.getKey()), true))
+        settings.members().values().stream()
+            .map(empty::get)
             .collect(ImmutableList.toImmutableList());
     try {
       group.form(members);
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -0,0 +1,282 @@
+package org.goldcrestfall.daemon.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.CompositeByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.codec.http.LastHttpContent;
+import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.handler.codec.http.TooLongHttpLineException;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Locale;
+import java.util.concurrent.TimeUnit;
+import org.goldcrestfall.core.common.ErrorKind;
+
+/**
+ * A caller's connection: collects one request at a time, starts its exchange, and writes answers.
+ * Requests that arrive during an exchange wait.
+ */
+final class ClientConnection extends ChannelInboundHandlerAdapter {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final Gateway gateway;
+  private final Deque<Object> queued = new ArrayDeque<>();
+  private Channel channel;
+  private HttpRequest head;
+  private CompositeByteBuf body;
+  private int reservedBytes;
+  private Exchange exchange;
+  private boolean refusing;
+  private boolean closing;
+  private long activeAt;
+  private long readingSince = -1;
+
+  ClientConnection(Gateway gateway) {
+    this.gateway = gateway;
+  }
+
+  @Override
+  public void handlerAdded(ChannelHandlerContext c) {
+    channel = c.channel();
+    activeAt = gateway.now();
+    gateway.clientConnected(this);
+  }
+
+  Channel channel() {
+    return channel;
+  }
+
+  @Override
+  public void channelRead(ChannelHandlerContext c, Object message) {
+    if (exchange != null || !queued.isEmpty()) {
+      queued.add(message);
+      channel.config().setAutoRead(false);
+      return;
+    }
+    handle(message);
+  }
+
+  private void handle(Object message) {
+    try {
+      activeAt = gateway.now();
+      if (closing || refusing) {
+        return;
+      }
+      if (message instanceof HttpRequest request) {
+        onHead(request);
+      }
+      if (message instanceof HttpContent content && head != null && !refusing) {
+        onContent(content);
+      }
+    } finally {
+      ReferenceCountUtil.release(message);
+    }
+  }
+
+  private void onHead(HttpRequest request) {
+    readingSince = gateway.now();
+    if (request.decoderResult().isFailure()) {
+      Throwable cause = request.decoderResult().cause();
+      boolean tooLong =
+          cause instanceof TooLongHttpHeaderException || cause instanceof TooLongHttpLineException;
+      refuseAndClose(
+          tooLong ? ErrorKind.HEADER_TOO_LARGE : ErrorKind.MALFORMED_REQUEST,
+          tooLong ? "The head of the request is too long." : "The request cannot be read.");
+      return;
+    }
+    head = request;
+    body = channel.alloc().compositeBuffer();
+    if (HttpUtil.getContentLength(request, 0L) > gateway.limits().maxBodyBytes()) {
+      refuseAndClose(ErrorKind.BODY_TOO_LARGE, "The body is too long.");
+    } else if (HttpUtil.is100ContinueExpected(request)) {
+      channel.writeAndFlush(
+          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE));
+    }
+  }
+
+  private void onContent(HttpContent content) {
+    if (content.decoderResult().isFailure()) {
+      refuseAndClose(ErrorKind.MALFORMED_REQUEST, "The body cannot be read.");
+      return;
+    }
+    int bytes = content.content().readableBytes();
+    if (body.readableBytes() + bytes > gateway.limits().maxBodyBytes()) {
+      refuseAndClose(ErrorKind.BODY_TOO_LARGE, "The body is too long.");
+      return;
+    }
+    if (!gateway.reserveBuffer(bytes)) {
+      refuseAndClose(ErrorKind.OVERLOADED, "Too many request bodies are in memory.");
+      return;
+    }
+    reservedBytes += bytes;
+    body.addComponent(true, content.content().retain());
+    if (content instanceof LastHttpContent) {
+      HttpRequest request = head;
+      ByteBuf whole = body;
+      head = null;
+      body = null;
+      long startedAt = readingSince;
+      readingSince = -1;
+      exchange = new Exchange(gateway, this, request, whole, startedAt);
+      exchange.start();
+    }
+  }
+
+  /** Refuses what cannot be read; what follows on the connection is not looked at. */
+  private void refuseAndClose(ErrorKind kind, String message) {
+    refusing = true;
+    closing = true;
+    String id = head == null ? null : head.headers().get(gateway.dialect().requestId());
+    logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+        "request: %s refused as %s: %s", id, kind.code(), message);
+    gateway.metrics().finished("unread", kind.code());
+    writeRefusal(kind, message, id, 0);
+    releaseBody();
+  }
+
+  /** Writes an error of this router; {@code retryAfterMillis} 0 states none. */
+  void writeRefusal(ErrorKind kind, String message, String requestId, long retryAfterMillis) {
+    String json =
+        "{\"error\":{\"kind\":\""
+            + kind.code()
+            + "\",\"message\":\""
+            + message
+            + "\",\"run\":\""
+            + kind.run().name().toLowerCase(Locale.ROOT)
+            + "\",\"retry\":"
+            + kind.retry()
+            + "}}\n";
+    ByteBuf bytes = Unpooled.copiedBuffer(json, StandardCharsets.UTF_8);
+    var response =
+        new DefaultFullHttpResponse(
+            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(kind.status()), bytes);
+    response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
+    response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
+    if (requestId != null) {
+      response.headers().set(gateway.dialect().requestId(), requestId);
+    }
+    if (retryAfterMillis > 0) {
+      response
+          .headers()
+          .set(
+              HttpHeaderNames.RETRY_AFTER,
+              String.format(Locale.ROOT, "%.3f", retryAfterMillis / 1_000.0));
+    }
+    writeLast(response);
+  }
+
+  /** Returns whether the connection closes after the current answer. */
+  boolean closesAfterAnswer(HttpRequest request) {
+    return closing || gateway.isDraining() || !HttpUtil.isKeepAlive(request);
+  }
+
+  /** Writes a whole answer, or the last part of one, and closes if that was announced. */
+  void writeLast(Object message) {
+    if (message instanceof DefaultFullHttpResponse r && (closing || gateway.isDraining())) {
+      closing = true;
+      r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+    }
+    var written = channel.writeAndFlush(message);
+    if (closing) {
+      written.addListener(ChannelFutureListener.CLOSE);
+    }
+  }
+
+  /** Announces that the connection closes after the current answer. */
+  void closeAfterAnswer() {
+    closing = true;
+  }
+
+  /** Breaks an answer off, so that it does not look complete. */
+  void abort() {
+    closing = true;
+    channel.close();
+  }
+
+  /** The exchange has ended; the next request may start. */
+  void exchangeEnded() {
+    exchange = null;
+    activeAt = gateway.now();
+    releaseBody();
+    if (gateway.isClosingIdle()) {
+      closeIfIdle();
+    }
+    while (exchange == null && !queued.isEmpty()) {
+      handle(queued.poll());
+    }
+    if (queued.isEmpty()) {
+      channel.config().setAutoRead(true);
+    }
+  }
+
+  private void releaseBody() {
+    gateway.releaseBuffer(reservedBytes);
+    reservedBytes = 0;
+    if (body != null) {
+      body.release();
+      body = null;
+    }
+    head = null;
+    readingSince = -1;
+  }
+
+  /** Closes the connection if no request is open or being read. */
+  void closeIfIdle() {
+    if (exchange == null && readingSince < 0 && queued.isEmpty() && !closing) {
+      closing = true;
+      channel.close();
+    }
+  }
+
+  /** Ends connections that are idle, or take too long to send a request. */
+  void checkTimeouts(long now) {
+    if (exchange != null || closing) {
+      return;
+    }
+    if (readingSince >= 0 && now - activeAt > gateway.limits().headerTimeoutMillis()) {
+      refuseAndClose(ErrorKind.REQUEST_TIMEOUT, "The request was not sent in time.");
+    } else if (readingSince < 0 && now - activeAt > gateway.limits().idleTimeoutMillis()) {
+      closeIfIdle();
+    }
+  }
+
+  @Override
+  public void channelWritabilityChanged(ChannelHandlerContext c) {
+    if (exchange != null) {
+      exchange.onWritable(channel.isWritable());
+    }
+  }
+
+  @Override
+  public void channelInactive(ChannelHandlerContext c) {
+    gateway.clientDisconnected(this);
+    closing = true;
+    queued.forEach(ReferenceCountUtil::release);
+    queued.clear();
+    if (exchange != null) {
+      exchange.onClientGone();
+    }
+    releaseBody();
+  }
+
+  @Override
+  public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
+    channel.close();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -0,0 +1,191 @@
+package org.goldcrestfall.daemon.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.dispatch.ExpectedWaitChoice;
+import org.goldcrestfall.core.dispatch.UpstreamChoice;
+import org.goldcrestfall.core.gateway.ClientLimits;
+import org.goldcrestfall.core.gateway.GatewayConfiguration;
+import org.goldcrestfall.core.registry.UpstreamEntry;
+import org.goldcrestfall.core.retry.RetryAllowance;
+import org.goldcrestfall.daemon.site.PrepaidTokens;
+import org.goldcrestfall.daemon.site.SiteClient;
+import org.goldcrestfall.daemon.site.SiteListener;
+
+/** What all requests of a router share. Confined to one event loop. */
+public final class Gateway implements SiteListener {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+  private static final long SWEEP_MILLIS = 500;
+
+  private final GatewaySettings settings;
+  private final GatewayDialect dialect;
+  private final EventLoop loop;
+  private final MillisClock clock;
+  private final GatewayMetrics metrics;
+  private final UpstreamConnections upstreams;
+  private final UpstreamChoice choice;
+  private final Map<String, RetryAllowance> allowances = new HashMap<>();
+  private final Set<ClientConnection> clients = new HashSet<>();
+  private SiteClient site;
+  private PrepaidTokens prepaid;
+  private GatewayConfiguration configuration;
+  private long bufferedBytes;
+  private int openExchanges;
+  private boolean draining;
+  private boolean closingIdle;
+
+  /** Creates the request path; {@link #attach} must follow before the first request. */
+  public Gateway(
+      GatewaySettings settings,
+      GatewayDialect dialect,
+      EventLoop loop,
+      MillisClock clock,
+      GatewayMetrics metrics) {
+    this.settings = settings;
+    this.dialect = dialect;
+    this.loop = loop;
+    this.clock = clock;
+    this.metrics = metrics;
+    upstreams = new UpstreamConnections(loop, clock, dialect);
+    choice = new ExpectedWaitChoice(settings.zone());
+  }
+
+  /** Sets the view of the site and begins the periodic work. */
+  public void attach(SiteClient site, PrepaidTokens prepaid) {
+    this.site = site;
+    this.prepaid = prepaid;
+    loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  private void sweep() {
+    upstreams.closeExpired();
+    long now = now();
+    Set.copyOf(clients).forEach(c -> c.checkTimeouts(now));
+  }
+
+  @Override
+  public void configurationChanged(GatewayConfiguration next) {
+    configuration = next;
+    prepaid.configure(next);
+  }
+
+  @Override
+  public void upstreamChanged(UpstreamEntry entry) {
+    upstreams.update(entry);
+  }
+
+  /** Returns whether requests can be served. */
+  public boolean isReady() {
+    return !draining && configuration != null && !upstreams.isEmpty();
+  }
+
+  /** Asks callers to go elsewhere: answers close their connection from now on. */
+  public void startDraining() {
+    draining = true;
+    logger.atInfo().log("drain: %s requests are open", openExchanges);
+  }
+
+  /** Closes connections without a request, now and as soon as a request ends. */
+  public void closeIdleClients() {
+    closingIdle = true;
+    Set.copyOf(clients).forEach(ClientConnection::closeIfIdle);
+  }
+
+  /** Returns the number of requests that have no complete answer yet. */
+  public int openExchanges() {
+    return openExchanges;
+  }
+
+  boolean isDraining() {
+    return draining;
+  }
+
+  boolean isClosingIdle() {
+    return closingIdle;
+  }
+
+  void exchangeStarted() {
+    openExchanges++;
+  }
+
+  void exchangeEnded() {
+    openExchanges--;
+  }
+
+  void clientConnected(ClientConnection client) {
+    clients.add(client);
+  }
+
+  void clientDisconnected(ClientConnection client) {
+    clients.remove(client);
+  }
+
+  /** Takes memory for a request body, if there is enough. */
+  boolean reserveBuffer(int bytes) {
+    if (bufferedBytes + bytes > settings.maxBufferedBytes()) {
+      return false;
+    }
+    bufferedBytes += bytes;
+    return true;
+  }
+
+  void releaseBuffer(int bytes) {
+    bufferedBytes -= bytes;
+  }
+
+  RetryAllowance allowance(String service) {
+    return allowances.computeIfAbsent(
+        service,
+        s ->
+            new RetryAllowance(
+                settings.retryRatio(), settings.retrySlack(), settings.retryWindowMillis()));
+  }
+
+  /** Returns the configuration, or null before the first one. */
+  GatewayConfiguration configuration() {
+    return configuration;
+  }
+
+  ClientLimits limits() {
+    return configuration == null ? ClientLimits.DEFAULT : configuration.limits();
+  }
+
+  GatewayDialect dialect() {
+    return dialect;
+  }
+
+  GatewayMetrics metrics() {
+    return metrics;
+  }
+
+  UpstreamConnections upstreams() {
+    return upstreams;
+  }
+
+  UpstreamChoice choice() {
+    return choice;
+  }
+
+  PrepaidTokens prepaid() {
+    return prepaid;
+  }
+
+  int routerCount() {
+    return site.routerCount();
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  long now() {
+    return clock.nowMillis();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayMetrics.java
@@ -0,0 +1,74 @@
+package org.goldcrestfall.daemon.gateway;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.function.DoubleSupplier;
+
+/** The counters and histograms of the request path, in the Prometheus text format. */
+public final class GatewayMetrics {
+
+  private static final String PREFIX = "goldcrestfall_gateway_";
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter requests =
+      Counter.builder()
+          .name(PREFIX + "requests")
+          .help("Finished requests by route kind and outcome")
+          .labelNames("kind", "outcome")
+          .register(registry);
+  private final Counter repeats =
+      Counter.builder()
+          .name(PREFIX + "repeated_sends")
+          .help("Sends after the first one of a request, by reason")
+          .labelNames("reason")
+          .register(registry);
+  private final Histogram firstByte =
+      Histogram.builder()
+          .name(PREFIX + "first_byte_seconds")
+          .help("Time to the first byte of an answer, by route kind")
+          .labelNames("kind")
+          .classicOnly()
+          .classicUpperBounds(0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8)
+          .register(registry);
+
+  /** Counts a finished request. */
+  void finished(String kind, String outcome) {
+    requests.labelValues(kind, outcome).inc();
+  }
+
+  /** Counts a repeated send. */
+  void repeated(String reason) {
+    repeats.labelValues(reason).inc();
+  }
+
+  /** Records the time to the first byte. */
+  void firstByte(String kind, long millis) {
+    firstByte.labelValues(kind).observe(millis / 1_000.0);
+  }
+
+  /** Registers a gauge that is read when scraped. */
+  public void gauge(String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name(PREFIX + name)
+        .help(help)
+        .callback(c -> c.call(value.getAsDouble()))
+        .register(registry);
+  }
+
+  /** Returns all metrics as text. */
+  public byte[] scrape() {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    try {
+      PrometheusTextFormatWriter.builder().build().write(out, registry.scrape());
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+    return out.toByteArray();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayServer.java
@@ -0,0 +1,66 @@
+package org.goldcrestfall.daemon.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import java.io.IOException;
+
+/** Accepts callers' connections on the event loop of a {@link Gateway}. */
+public final class GatewayServer {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Connections that wait to be accepted; callers open many at once after a router was lost. */
+  private static final int BACKLOG = 1_024;
+
+  private GatewayServer() {}
+
+  /**
+   * Binds an address.
+   *
+   * @throws IOException if the address cannot be bound
+   */
+  public static Channel bind(Gateway gateway, EventLoop loop, String address, int port)
+      throws IOException {
+    return bind(
+        loop,
+        address,
+        port,
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel c) {
+            c.pipeline()
+                .addLast(
+                    new RequestDecoder(gateway.limits().maxHeaderBytes()),
+                    new HttpResponseEncoder(),
+                    new ClientConnection(gateway));
+          }
+        });
+  }
+
+  static Channel bind(
+      EventLoop loop, String address, int port, ChannelInitializer<Channel> children)
+      throws IOException {
+    ChannelFuture bound =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(children)
+            .bind(address, port)
+            .awaitUninterruptibly();
+    if (!bound.isSuccess()) {
+      throw new IOException("cannot bind " + address + ":" + port, bound.cause());
+    }
+    logger.atInfo().log("http: listening on %s:%s", address, port);
+    return bound.channel();
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/HopHeaders.java
@@ -0,0 +1,46 @@
+package org.goldcrestfall.daemon.gateway;
+
+import com.google.common.base.Ascii;
+import com.google.common.base.Splitter;
+import com.google.common.collect.ImmutableSet;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaders;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+
+/** The headers that concern a single connection (RFC 9110, section 7.6.1). */
+final class HopHeaders {
+
+  private static final Splitter COMMA = Splitter.on(',').trimResults().omitEmptyStrings();
+
+  private static final ImmutableSet<String> NAMES =
+      ImmutableSet.of(
+          "connection",
+          "keep-alive",
+          "proxy-connection",
+          "proxy-authenticate",
+          "proxy-authorization",
+          "te",
+          "trailer",
+          "transfer-encoding",
+          "upgrade",
+          "expect",
+          "content-length");
+
+  private HopHeaders() {}
+
+  /** Copies all other headers, except those in {@code dropped} (lower case). */
+  static void copy(HttpHeaders from, HttpHeaders to, Set<String> dropped) {
+    Set<String> named = new HashSet<>();
+    for (String value : from.getAll(HttpHeaderNames.CONNECTION)) {
+      COMMA.split(value).forEach(name -> named.add(Ascii.toLowerCase(name)));
+    }
+    for (Map.Entry<String, String> e : from) {
+      String name = Ascii.toLowerCase(e.getKey());
+      if (!NAMES.contains(name) && !named.contains(name) && !dropped.contains(name)) {
+        to.add(e.getKey(), e.getValue());
+      }
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/SimpleHttpServer.java
@@ -0,0 +1,133 @@
+package org.goldcrestfall.daemon.gateway;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.http.DefaultFullHttpResponse;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseEncoder;
+import io.netty.handler.codec.http.HttpResponseStatus;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.handler.timeout.IdleStateHandler;
+import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
+
+/** A small HTTP server for operators, upstreams, the load balancer and metrics. */
+public final class SimpleHttpServer {
+
+  private static final int MAX_HEADER_BYTES = 16_384;
+  private static final int MAX_BODY_BYTES = 8 << 20;
+  private static final int IDLE_SECONDS = 30;
+
+  /** A request; {@code path} has no query. */
+  public record Call(String method, String path, byte[] body) {}
+
+  /** An answer; the body is JSON unless {@code contentType} says otherwise. */
+  public record Reply(int status, String contentType, byte[] body) {
+
+    /** Returns an answer with a JSON body. */
+    public static Reply json(int status, byte[] body) {
+      return new Reply(status, "application/json", body);
+    }
+  }
+
+  /** Answers requests on the event loop; must not block. */
+  @FunctionalInterface
+  public interface Handler {
+
+    /** Returns the answer; a failure is answered with 500. */
+    CompletableFuture<Reply> handle(Call call);
+  }
+
+  private SimpleHttpServer() {}
+
+  /**
+   * Binds an address.
+   *
+   * @throws IOException if the address cannot be bound
+   */
+  public static Channel bind(EventLoop loop, String address, int port, Handler handler)
+      throws IOException {
+    return GatewayServer.bind(
+        loop,
+        address,
+        port,
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel c) {
+            c.pipeline()
+                .addLast(
+                    new IdleStateHandler(0, 0, IDLE_SECONDS),
+                    new RequestDecoder(MAX_HEADER_BYTES),
+                    new HttpResponseEncoder(),
+                    new HttpObjectAggregator(MAX_BODY_BYTES),
+                    new Connection(handler));
+          }
+        });
+  }
+
+  private static final class Connection extends SimpleChannelInboundHandler<FullHttpRequest> {
+
+    private final Handler handler;
+
+    Connection(Handler handler) {
+      this.handler = handler;
+    }
+
+    @Override
+    protected void channelRead0(ChannelHandlerContext c, FullHttpRequest request) {
+      if (request.decoderResult().isFailure()) {
+        write(c, false, new Reply(400, "text/plain", new byte[0]));
+        return;
+      }
+      boolean keep = HttpUtil.isKeepAlive(request);
+      String uri = request.uri();
+      int query = uri.indexOf('?');
+      Call call =
+          new Call(
+              request.method().name(),
+              query < 0 ? uri : uri.substring(0, query),
+              ByteBufUtil.getBytes(request.content()));
+      handler
+          .handle(call)
+          .exceptionally(e -> Reply.json(500, new byte[0]))
+          .thenAcceptAsync(reply -> write(c, keep, reply), c.executor());
+    }
+
+    private static void write(ChannelHandlerContext c, boolean keep, Reply reply) {
+      ByteBuf body = Unpooled.wrappedBuffer(reply.body());
+      var out =
+          new DefaultFullHttpResponse(
+              HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(reply.status()), body);
+      out.headers().set(HttpHeaderNames.CONTENT_TYPE, reply.contentType());
+      out.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
+      if (!keep) {
+        out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+      }
+      var written = c.writeAndFlush(out);
+      if (!keep) {
+        written.addListener(ChannelFutureListener.CLOSE);
+      }
+    }
+
+    @Override
+    public void userEventTriggered(ChannelHandlerContext c, Object event) {
+      c.close();
+    }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
+      c.close();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Upstream.java
@@ -0,0 +1,54 @@
+package org.goldcrestfall.daemon.gateway;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import org.goldcrestfall.core.dispatch.UpstreamLoad;
+import org.goldcrestfall.core.registry.UpstreamEntry;
+import org.goldcrestfall.core.registry.UpstreamState;
+
+/** One incarnation of an upstream as this router uses it: its entry, load and connections. */
+final class Upstream {
+
+  private final UpstreamLoad load;
+  private final Deque<UpstreamConnection> idle = new ArrayDeque<>();
+  private UpstreamEntry entry;
+  private int open;
+
+  Upstream(UpstreamEntry entry, long nowMillis) {
+    this.entry = entry;
+    load = new UpstreamLoad(entry.id(), entry.zone(), entry.slots(), nowMillis);
+  }
+
+  UpstreamEntry entry() {
+    return entry;
+  }
+
+  void update(UpstreamEntry next) {
+    entry = next;
+  }
+
+  boolean isReady() {
+    return entry.state() == UpstreamState.READY;
+  }
+
+  UpstreamLoad load() {
+    return load;
+  }
+
+  Deque<UpstreamConnection> idle() {
+    return idle;
+  }
+
+  int open() {
+    return open;
+  }
+
+  void opened() {
+    open++;
+  }
+
+  void closed(UpstreamConnection connection) {
+    open--;
+    idle.remove(connection);
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
@@ -0,0 +1,165 @@
+package org.goldcrestfall.daemon.gateway;
+
+import com.google.common.flogger.FluentLogger;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.Consumer;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.registry.UpstreamEntry;
+
+/** The upstreams of all services with their connections. Confined to the router's event loop. */
+final class UpstreamConnections {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  /** Several times the round trip within a region. */
+  private static final int CONNECT_TIMEOUT_MILLIS = 400;
+
+  private final EventLoop loop;
+  private final MillisClock clock;
+  private final GatewayDialect dialect;
+  private final Map<String, Upstream> upstreams = new HashMap<>();
+  private final Map<String, Map<String, Upstream>> byService = new HashMap<>();
+  private final Set<String> wrongAddress = new HashSet<>();
+
+  UpstreamConnections(EventLoop loop, MillisClock clock, GatewayDialect dialect) {
+    this.loop = loop;
+    this.clock = clock;
+    this.dialect = dialect;
+  }
+
+  long now() {
+    return clock.nowMillis();
+  }
+
+  GatewayDialect dialect() {
+    return dialect;
+  }
+
+  /** Takes a new or changed entry. */
+  void update(UpstreamEntry entry) {
+    Upstream known = upstreams.get(entry.id());
+    boolean same =
+        known != null
+            && known.entry().startedAtMillis() == entry.startedAtMillis()
+            && known.entry().address().equals(entry.address());
+    if (same) {
+      known.update(entry);
+    } else {
+      remove(entry.id());
+      known = new Upstream(entry, now());
+      wrongAddress.remove(entry.id());
+    }
+    logger.atInfo().log(
+        "upstream: %s of %s at %s is %s",
+        entry.id(), entry.service(), entry.address(), entry.state());
+    if (known.isReady()) {
+      upstreams.put(entry.id(), known);
+      byService.computeIfAbsent(entry.service(), s -> new HashMap<>()).put(entry.id(), known);
+    } else {
+      remove(entry.id());
+    }
+  }
+
+  /** Forgets an upstream whose address belongs to another one. */
+  void markWrongAddress(Upstream upstream) {
+    logger.atInfo().log(
+        "upstream: %s is no longer at %s", upstream.entry().id(), upstream.entry().address());
+    if (wrongAddress.add(upstream.entry().id())) {
+      remove(upstream.entry().id());
+    }
+  }
+
+  private void remove(String id) {
+    Upstream old = upstreams.remove(id);
+    if (old == null) {
+      return;
+    }
+    byService.getOrDefault(old.entry().service(), Map.of()).remove(id);
+    new ArrayList<>(old.idle()).forEach(UpstreamConnection::close);
+  }
+
+  /** Returns the upstreams of a service that may get new requests, by id. */
+  Map<String, Upstream> ready(String service) {
+    return byService.getOrDefault(service, Map.of());
+  }
+
+  /** Returns whether any service has an upstream. */
+  boolean isEmpty() {
+    return upstreams.isEmpty();
+  }
+
+  /** Hands over an idle or a new connection, or null if none could be opened. */
+  void acquire(Upstream upstream, Consumer<UpstreamConnection> taker) {
+    UpstreamConnection kept;
+    while ((kept = upstream.idle().pollFirst()) != null) {
+      if (kept.isUsable(now())) {
+        taker.accept(kept);
+        return;
+      }
+      kept.close();
+    }
+    connect(upstream, taker);
+  }
+
+  private void connect(Upstream upstream, Consumer<UpstreamConnection> taker) {
+    String address = upstream.entry().address();
+    int colon = address.lastIndexOf(':');
+    ResponseDecoder decoder = new ResponseDecoder();
+    UpstreamConnection connection = new UpstreamConnection(upstream, this, decoder);
+    ChannelFuture opening =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioSocketChannel.class)
+            .option(ChannelOption.TCP_NODELAY, true)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+            .handler(
+                new ChannelInitializer<Channel>() {
+                  @Override
+                  protected void initChannel(Channel c) {
+                    c.pipeline().addLast(new HttpRequestEncoder(), decoder, connection);
+                  }
+                })
+            .connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+    upstream.opened();
+    opening.addListener(
+        f -> {
+          if (f.isSuccess()) {
+            taker.accept(connection);
+            return;
+          }
+          upstream.closed(connection);
+          logger.atInfo().log(
+              "upstream: %s at %s cannot be reached: %s",
+              upstream.entry().id(), address, f.cause().getMessage());
+          taker.accept(null);
+        });
+  }
+
+  /** Takes a connection back after a whole answer. */
+  void release(UpstreamConnection connection) {
+    connection.upstream().idle().addFirst(connection);
+  }
+
+  /** Closes connections that upstreams are about to close. */
+  void closeExpired() {
+    long now = now();
+    for (Upstream u : upstreams.values()) {
+      List<UpstreamConnection> expired = new ArrayList<>();
+      u.idle().removeIf(c -> !c.isUsable(now) && expired.add(c));
+      expired.forEach(UpstreamConnection::close);
+    }
+  }
+}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/log/LogSetup.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/log/LogSetup.java
@@ -14,11 +14,22 @@
 
   private LogSetup() {}
 
+  /**
+   * Replaces the log handlers of the process by one that writes JSON lines to standard output from
+   * a thread of its own. A line that finds its queue full is dropped and counted.
+   */
+  public static void installBounded(String level) {
+    install(new BoundedLogHandler(System.out, new JsonLogFormatter()), level);
+  }
+
   /** Replaces the log handlers of the process; {@code format} is {@code text} or {@code json}. */
   public static void install(String format, String level) {
     Formatter formatter = format.equals("json") ? new JsonLogFormatter() : new TextLogFormatter();
+    install(new FlushingHandler(System.err, formatter), level);
+  }
+
+  private static void install(Handler h, String level) {
     LogManager.getLogManager().reset();
-    Handler h = new FlushingHandler(System.err, formatter);
     Level l = Level.parse(level);
     h.setLevel(l);
     Logger root = Logger.getLogger("");
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/Compression.java
@@ -0,0 +1,36 @@
+package org.goldcrestfall.daemon.site;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.util.zip.Deflater;
+import java.util.zip.DeflaterOutputStream;
+import java.util.zip.InflaterInputStream;
+
+/** Deflate for documents that are kept and sent often. */
+final class Compression {
+
+  private Compression() {}
+
+  static byte[] compress(byte[] plain) {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(plain.length / 4 + 64);
+    Deflater deflater = new Deflater(Deflater.BEST_SPEED);
+    try (DeflaterOutputStream d = new DeflaterOutputStream(out, deflater)) {
+      d.write(plain);
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    } finally {
+      deflater.end();
+    }
+    return out.toByteArray();
+  }
+
+  static byte[] decompress(byte[] compressed) {
+    try (var in = new InflaterInputStream(new ByteArrayInputStream(compressed))) {
+      return in.readAllBytes();
+    } catch (IOException e) {
+      throw new UncheckedIOException(e);
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -0,0 +1,181 @@
+package org.goldcrestfall.daemon.site;
+
+import com.google.common.collect.ImmutableMap;
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.goldcrestfall.core.prepaid.PrepaidLedger;
+import org.goldcrestfall.core.registry.UpstreamState;
+import org.goldcrestfall.core.site.SiteCommand;
+import org.goldcrestfall.core.site.SiteState;
+import org.goldcrestfall.wire.generated.AllotmentDemand;
+import org.goldcrestfall.wire.generated.AllotmentState;
+import org.goldcrestfall.wire.generated.AllotmentSums;
+import org.goldcrestfall.wire.generated.PrepaidTotal;
+import org.goldcrestfall.wire.generated.PutConfiguration;
+import org.goldcrestfall.wire.generated.RenewAllotments;
+import org.goldcrestfall.wire.generated.RouterAllotments;
+import org.goldcrestfall.wire.generated.SiteReply;
+import org.goldcrestfall.wire.generated.SiteSnapshot;
+import org.goldcrestfall.wire.generated.UpstreamEntry;
+
+/** Turns the records of a site into their protobuf form and back. */
+final class SiteCodec {
+
+  private static final UpstreamState[] STATES = UpstreamState.values();
+
+  private SiteCodec() {}
+
+  static byte[] encode(SiteCommand command) {
+    var out = org.goldcrestfall.wire.generated.SiteCommand.newBuilder();
+    if (command instanceof SiteCommand.PutConfiguration c) {
+      out.setPut(
+          PutConfiguration.newBuilder()
+              .setVersion(c.version())
+              .setDocument(ByteString.copyFrom(c.document()))
+              .addAllTotals(encodeTotals(c.totals())));
+    } else if (command instanceof SiteCommand.RenewAllotments c) {
+      RenewAllotments.Builder renew =
+          RenewAllotments.newBuilder().setRouter(c.router()).setNumber(c.number());
+      for (PrepaidLedger.Demand d : c.demands()) {
+        renew.addDemands(
+            AllotmentDemand.newBuilder()
+                .setWorkspace(d.workspace())
+                .setReturnedTotal(d.returnedTotal())
+                .setWanted(d.wanted()));
+      }
+      out.setRenew(renew);
+    }
+    return out.build().toByteArray();
+  }
+
+  /** Returns the command, or null if the bytes hold none. */
+  static SiteCommand decodeCommand(byte[] bytes) throws InvalidProtocolBufferException {
+    var in = org.goldcrestfall.wire.generated.SiteCommand.parseFrom(bytes);
+    switch (in.getKindCase()) {
+      case PUT:
+        PutConfiguration put = in.getPut();
+        return new SiteCommand.PutConfiguration(
+            put.getVersion(), put.getDocument().toByteArray(), decodeTotals(put.getTotalsList()));
+      case RENEW:
+        List<PrepaidLedger.Demand> demands = new ArrayList<>();
+        for (AllotmentDemand d : in.getRenew().getDemandsList()) {
+          demands.add(
+              new PrepaidLedger.Demand(d.getWorkspace(), d.getReturnedTotal(), d.getWanted()));
+        }
+        return new SiteCommand.RenewAllotments(
+            in.getRenew().getRouter(), in.getRenew().getNumber(), demands);
+      default:
+        return null;
+    }
+  }
+
+  static byte[] encode(SiteState.Reply reply) {
+    SiteReply.Builder out = SiteReply.newBuilder().setVersion(reply.version());
+    for (PrepaidLedger.Allotment a : reply.allotments()) {
+      out.addAllotments(
+          AllotmentState.newBuilder()
+              .setWorkspace(a.workspace())
+              .setGrantedTotal(a.grantedTotal())
+              .setAvailable(a.available()));
+    }
+    return out.build().toByteArray();
+  }
+
+  static SiteState.Reply decodeReply(byte[] bytes) throws InvalidProtocolBufferException {
+    SiteReply in = SiteReply.parseFrom(bytes);
+    List<PrepaidLedger.Allotment> allotments = new ArrayList<>();
+    for (AllotmentState a : in.getAllotmentsList()) {
+      allotments.add(
+          new PrepaidLedger.Allotment(a.getWorkspace(), a.getGrantedTotal(), a.getAvailable()));
+    }
+    return new SiteState.Reply(in.getVersion(), allotments);
+  }
+
+  static byte[] encodeSnapshot(SiteState state) {
+    SiteState.StoredConfiguration c = state.configuration();
+    SiteSnapshot.Builder out =
+        SiteSnapshot.newBuilder()
+            .setVersion(c.version())
+            .setConfigurationIndex(c.index())
+            .setDocument(ByteString.copyFrom(c.document()))
+            .addAllTotals(encodeTotals(c.totals()));
+    for (PrepaidLedger.RouterSums r : state.allotments()) {
+      RouterAllotments.Builder router =
+          RouterAllotments.newBuilder().setRouter(r.router()).setNumber(r.number());
+      for (PrepaidLedger.Sums s : r.sums()) {
+        router.addSums(
+            AllotmentSums.newBuilder()
+                .setWorkspace(s.workspace())
+                .setGrantedTotal(s.grantedTotal())
+                .setReturnedTotal(s.returnedTotal()));
+      }
+      out.addRouters(router);
+    }
+    return out.build().toByteArray();
+  }
+
+  static void restoreSnapshot(SiteState state, byte[] bytes) throws InvalidProtocolBufferException {
+    SiteSnapshot in = SiteSnapshot.parseFrom(bytes);
+    List<PrepaidLedger.RouterSums> routers = new ArrayList<>();
+    for (RouterAllotments r : in.getRoutersList()) {
+      List<PrepaidLedger.Sums> sums = new ArrayList<>();
+      for (AllotmentSums s : r.getSumsList()) {
+        sums.add(
+            new PrepaidLedger.Sums(s.getWorkspace(), s.getGrantedTotal(), s.getReturnedTotal()));
+      }
+      routers.add(new PrepaidLedger.RouterSums(r.getRouter(), r.getNumber(), sums));
+    }
+    state.restore(
+        new SiteState.StoredConfiguration(
+            in.getVersion(),
+            in.getConfigurationIndex(),
+            in.getDocument().toByteArray(),
+            decodeTotals(in.getTotalsList())),
+        routers);
+  }
+
+  private static List<PrepaidTotal> encodeTotals(Map<String, Long> totals) {
+    List<PrepaidTotal> out = new ArrayList<>();
+    totals.forEach(
+        (w, t) -> out.add(PrepaidTotal.newBuilder().setWorkspace(w).setTokens(t).build()));
+    return out;
+  }
+
+  private static ImmutableMap<String, Long> decodeTotals(List<PrepaidTotal> totals) {
+    ImmutableMap.Builder<String, Long> out = ImmutableMap.builder();
+    totals.forEach(t -> out.put(t.getWorkspace(), t.getTokens()));
+    return out.buildKeepingLast();
+  }
+
+  static UpstreamEntry encode(org.goldcrestfall.core.registry.UpstreamEntry e) {
+    return UpstreamEntry.newBuilder()
+        .setId(e.id())
+        .setService(e.service())
+        .setAddress(e.address())
+        .setZone(e.zone())
+        .setState(e.state().ordinal())
+        .setSlots(e.slots())
+        .setStartedAt(e.startedAtMillis())
+        .setSequence(e.sequence())
+        .setWarmupMillis(e.warmupMillis())
+        .build();
+  }
+
+  /** Returns the entry; an unknown state of a later release counts as gone. */
+  static org.goldcrestfall.core.registry.UpstreamEntry decode(UpstreamEntry e) {
+    UpstreamState state = e.getState() < STATES.length ? STATES[e.getState()] : UpstreamState.GONE;
+    return new org.goldcrestfall.core.registry.UpstreamEntry(
+        e.getId(),
+        e.getService(),
+        e.getAddress(),
+        e.getZone(),
+        state,
+        e.getSlots(),
+        e.getStartedAt(),
+        e.getSequence(),
+        e.getWarmupMillis());
+  }
+}
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
@@ -0,0 +1,76 @@
+package org.goldcrestfall.daemon.site;
+
+import com.google.common.flogger.FluentLogger;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.List;
+import org.goldcrestfall.core.site.SiteCommand;
+import org.goldcrestfall.core.site.SiteState;
+import org.goldcrestfall.daemon.control.StateMachine;
+
+/** The site's state behind the replicated log. The configuration may be read from any thread. */
+public final class SiteStateMachine implements StateMachine {
+
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
+  private final SiteState state = new SiteState();
+  private volatile SiteState.StoredConfiguration configuration = state.configuration();
+  private volatile Runnable listener = () -> {};
+
+  /** Sets what is called on the consensus thread when another configuration is in force. */
+  void onConfiguration(Runnable changed) {
+    listener = changed;
+  }
+
+  /** Returns the configuration as far as this member has applied the log. */
+  SiteState.StoredConfiguration configuration() {
+    return configuration;
+  }
+
+  @Override
+  public byte[] apply(long index, byte[] command) {
+    SiteState.Reply reply = new SiteState.Reply(configuration.version(), List.of());
+    try {
+      SiteCommand decoded = SiteCodec.decodeCommand(command);
+      if (decoded != null) {
+        reply = state.apply(index, decoded);
+      }
+    } catch (InvalidProtocolBufferException e) {
+      // Every member refuses the same bytes, so the states stay equal.
+      logger.atSevere().log("site: entry %s is not a command: %s", index, e.getMessage());
+    }
+    publish();
+    return SiteCodec.encode(reply);
+  }
+
+  private void publish() {
+    if (configuration == state.configuration()) {
+      return;
+    }
+    configuration = state.configuration();
+    logger.atInfo().log(
+        "site: configuration version %s is in force at index %s",
+        configuration.version(), configuration.index());
+    listener.run();
+  }
+
+  @Override
+  public byte[] query(byte[] query) {
+    // The only query asks for the whole state's configuration.
+    return state.configuration().document();
+  }
+
+  @Override
+  public byte[] snapshot() {
+    return SiteCodec.encodeSnapshot(state);
+  }
+
+  @Override
+  public void restore(byte[] snapshot) {
+    try {
+      SiteCodec.restoreSnapshot(state, snapshot);
+    } catch (InvalidProtocolBufferException e) {
+      throw new IllegalArgumentException("the snapshot is not valid", e);
+    }
+    publish();
+  }
+}
--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
@@ -57,7 +57,7 @@
   ControlGroup start(String host, Disk disk) throws IOException {
     PeerTransport transport = network.connect(host, addresses.get(host));
     ControlSettings settings =
-        new ControlSettings(host, addresses, FAST, snapshotEntries, Long.MAX_VALUE);
+        ControlSettings.of(host, addresses, FAST, snapshotEntries, Long.MAX_VALUE);
     ControlGroup group =
         ControlGroup.open(settings, disk, new ListMachine(), transport, clock, host.hashCode());
     groups.put(host, group);
--- a/wire/src/main/java/org/goldcrestfall/wire/Backoff.java
+++ b/wire/src/main/java/org/goldcrestfall/wire/Backoff.java
@@ -6,7 +6,7 @@
 final class Backoff {
 
   static final long MIN_MILLIS = 50;
-  static final long MAX_MILLIS = 2000;
+  static final long MAX_MILLIS = 500;
 
   private final RandomGenerator random;
   private int failures;
--- a/wire/src/main/java/org/goldcrestfall/wire/NettyPeerTransport.java
+++ b/wire/src/main/java/org/goldcrestfall/wire/NettyPeerTransport.java
@@ -45,8 +45,8 @@
 
   private final PeerSettings settings;
   private final TransportListener listener;
-  private final EventLoopGroup group =
-      new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory());
+  private final EventLoopGroup group;
+  private final boolean ownsGroup;
   private final Map<String, OutboundConnection> connections = new ConcurrentHashMap<>();
   private final Map<Body.KindCase, Handler> handlers = new ConcurrentHashMap<>();
   private final Channel server;
@@ -59,8 +59,31 @@
    * @throws IOException if the address cannot be bound
    */
   public NettyPeerTransport(PeerSettings settings, TransportListener listener) throws IOException {
+    this(
+        settings,
+        listener,
+        new MultiThreadIoEventLoopGroup(IO_THREADS, NioIoHandler.newFactory()),
+        true);
+  }
+
+  /**
+   * Binds the address of {@code settings} and runs on the threads of the caller's {@code group},
+   * which stays open when the transport is closed.
+   *
+   * @throws IOException if the address cannot be bound
+   */
+  public NettyPeerTransport(PeerSettings settings, TransportListener listener, EventLoopGroup group)
+      throws IOException {
+    this(settings, listener, group, false);
+  }
+
+  private NettyPeerTransport(
+      PeerSettings settings, TransportListener listener, EventLoopGroup group, boolean ownsGroup)
+      throws IOException {
     this.settings = settings;
     this.listener = listener;
+    this.group = group;
+    this.ownsGroup = ownsGroup;
     var bound =
         new ServerBootstrap()
             .group(group)
@@ -72,7 +95,9 @@
             .bind(settings.bindAddress(), settings.port())
             .awaitUninterruptibly();
     if (!bound.isSuccess()) {
-      group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+      if (ownsGroup) {
+        group.shutdownGracefully(0, 0, TimeUnit.SECONDS);
+      }
       throw new IOException(
           "cannot bind " + settings.bindAddress() + ":" + settings.port(), bound.cause());
     }
@@ -192,6 +217,8 @@
         logger.atFine().log("peer: transport was closed before");
       }
     }
-    group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    if (ownsGroup) {
+      group.shutdownGracefully(0, 1, TimeUnit.SECONDS).awaitUninterruptibly();
+    }
   }
 }
--- a/wire/src/main/java/org/goldcrestfall/wire/OutboundHandler.java
+++ b/wire/src/main/java/org/goldcrestfall/wire/OutboundHandler.java
@@ -14,10 +14,10 @@
 final class OutboundHandler extends SimpleChannelInboundHandler<Envelope> {
 
   /** Interval of the read-idle events that drive the checks. */
-  static final int IDLE_CHECK_MILLIS = 2000;
+  static final int IDLE_CHECK_MILLIS = 600;
 
   private static final int SILENT_CHECKS = 3;
-  private static final int UNUSED_CHECKS = 30;
+  private static final int UNUSED_CHECKS = 100;
 
   private final OutboundConnection connection;
   private final String peerHost;
