Hold prepaid tokens for the demand of one cut, and ask the ledger before other routers

The ledger's log lines show nothing left: routers held up to three times the demand of 10 s and 15% of each total, and all of it was stranded when they lost power. Now a router holds the demand of 8 s, gives back above 1.5 times that, and a request that is short asks the ledger first and other routers only if that does not answer or has too little.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
@@ -15,8 +15,14 @@
   /** A router is granted at most this part of what is left, so that a scarce rest reaches many. */
   private static final int SCARCE_PARTS = 4;
 
-  /** What a router incarnation asks for; {@code returnedTotal} is the sum of all its returns. */
-  public record Demand(String workspace, long returnedTotal, long wanted) {}
+  /**
+   * What a router incarnation asks for.
+   *
+   * @param returnedTotal the sum of all its returns
+   * @param wanted the tokens that it would like to hold in addition
+   * @param needed the part of them that a waiting request needs, granted also from a scarce rest
+   */
+  public record Demand(String workspace, long returnedTotal, long wanted, long needed) {}
 
   /** The answer: the sum of all grants so far, and what no router holds. */
   public record Allotment(String workspace, long grantedTotal, long available) {}
@@ -63,7 +69,7 @@
       outstanding.merge(d.workspace(), -returned, Long::sum);
       long available = available(d.workspace());
       if (!repeated && d.wanted() > 0 && available > 0) {
-        long part = Math.max(available / SCARCE_PARTS, 1);
+        long part = Math.max(available / SCARCE_PARTS, Math.min(d.needed(), available));
         long granted = Math.min(d.wanted(), part);
         sums[0] += granted;
         outstanding.merge(d.workspace(), granted, Long::sum);
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
@@ -44,6 +44,11 @@
     return configuration;
   }
 
+  /** Returns the prepaid tokens of a workspace that no router holds. */
+  public long available(String workspace) {
+    return ledger.available(workspace);
+  }
+
   /** Returns the sums of all router incarnations. */
   public List<PrepaidLedger.RouterSums> allotments() {
     return ledger.routers();
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
@@ -50,7 +50,8 @@
             r.account.giveBack(random.nextInt(500));
           }
           var demand =
-              new PrepaidLedger.Demand(W, r.account.returnedTotal(), random.nextInt(2_000));
+              new PrepaidLedger.Demand(
+                  W, r.account.returnedTotal(), random.nextInt(2_000), random.nextInt(2_000));
           var answer = ledger.renew(r.name, ++r.number, List.of(demand)).get(0);
           // The command can reach the log twice, as after a lost answer.
           if (random.nextInt(4) == 0) {
@@ -112,18 +113,26 @@
   void scarceRestIsNotTakenByOneRouter() {
     PrepaidLedger ledger = new PrepaidLedger();
     ledger.setTotals(Map.of(W, 1_000L));
-    var answer = ledger.renew("r", 1, List.of(new PrepaidLedger.Demand(W, 0, 5_000))).get(0);
+    var answer = ledger.renew("r", 1, List.of(new PrepaidLedger.Demand(W, 0, 5_000, 0))).get(0);
     assertThat(answer.grantedTotal()).isEqualTo(250);
     assertThat(answer.available()).isEqualTo(750);
   }
 
+  @Example
+  void waitingRequestIsServedFromScarceRest() {
+    PrepaidLedger ledger = new PrepaidLedger();
+    ledger.setTotals(Map.of(W, 1_000L));
+    var answer = ledger.renew("r", 1, List.of(new PrepaidLedger.Demand(W, 0, 5_000, 900))).get(0);
+    assertThat(answer.grantedTotal()).isEqualTo(900);
+  }
+
   @Example
   void loweredTotalStopsGrantsUntilTokensComeBack() {
     PrepaidLedger ledger = new PrepaidLedger();
     ledger.setTotals(Map.of(W, 1_000L));
-    ledger.renew("r", 1, List.of(new PrepaidLedger.Demand(W, 0, 200)));
+    ledger.renew("r", 1, List.of(new PrepaidLedger.Demand(W, 0, 200, 0)));
     ledger.setTotals(Map.of(W, 100L));
-    var refused = ledger.renew("r", 2, List.of(new PrepaidLedger.Demand(W, 0, 10))).get(0);
+    var refused = ledger.renew("r", 2, List.of(new PrepaidLedger.Demand(W, 0, 10, 10))).get(0);
     assertThat(refused.grantedTotal()).isEqualTo(200);
     assertThat(refused.available()).isZero();
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -35,14 +35,19 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Demand for which tokens are held; a cut from the control daemons lasts about so long. */
-  private static final long HORIZON_MILLIS = 10_000;
+  /**
+   * Demand for which tokens are held: a cut from the control daemons lasts about so long. What a
+   * router holds is lost with it, so it is not more.
+   */
+  private static final long HORIZON_MILLIS = 8_000;
+
+  /** A router without demand holds its equal part of this part of a workspace's total. */
+  private static final double IDLE_PART = 0.02;
 
-  /** At first each router holds its equal part of this part of a workspace's total. */
-  private static final double INITIAL_PART = 0.15;
+  /** More than this part of the target is given back, less than that is asked for. */
+  private static final double RETURN_ABOVE = 1.5;
 
-  /** More than so many times the target is given back. */
-  private static final int RETURN_FACTOR = 3;
+  private static final double RENEW_BELOW = 0.75;
 
   private static final long RENEW_MILLIS = 500;
   private static final long RENEW_TIMEOUT_MILLIS = 900;
@@ -50,8 +55,19 @@
   /** Other routers of the region answer within a few milliseconds. */
   private static final long LOAN_TIMEOUT_MILLIS = 150;
 
-  /** The most routers that are asked for one request. */
-  private static final int MAX_LENDERS = 6;
+  /** The routers that are asked at first for one request, and then if these had too little. */
+  private static final int FIRST_LENDERS = 4;
+
+  private static final int MORE_LENDERS = 12;
+
+  /** Each of several lenders is asked for this part of what is short. */
+  private static final int LOAN_PARTS = 2;
+
+  /** The ledger answers within a few milliseconds; after this wait other routers are asked too. */
+  private static final long LEDGER_FIRST_MILLIS = 40;
+
+  /** A router that has heard no control daemon for so long asks other routers at once. */
+  private static final long CONTACT_MILLIS = 1_600;
 
   /** A lender keeps this part of its tokens for its own callers. */
   private static final int LENDER_KEEPS = 4;
@@ -143,38 +159,109 @@
 
   private long target(String workspace, PrepaidAccount account) {
     long total = totals.getOrDefault(workspace, 0L);
-    long initial = (long) (total * INITIAL_PART / site.routerCount());
-    return Math.max(initial, account.expectedDemand(HORIZON_MILLIS, clock.nowMillis()));
+    long idle = (long) (total * IDLE_PART / site.routerCount());
+    return Math.max(idle, account.expectedDemand(HORIZON_MILLIS, clock.nowMillis()));
   }
 
   // ---------------------------------------------------------------- loans
 
-  /** Asks the ledger and other routers at the same time. */
+  /** Asks the ledger, and other routers where it does not answer at once or has too little. */
   private CompletableFuture<Outcome> borrow(String workspace, PrepaidAccount account, long tokens) {
-    CompletableFuture<Outcome> result = new CompletableFuture<>();
-    List<DaemonEntry> lenders = new ArrayList<>(site.otherRouters());
-    Collections.shuffle(lenders);
-    if (lenders.size() > MAX_LENDERS) {
-      lenders = lenders.subList(0, MAX_LENDERS);
+    Loan loan = new Loan(workspace, account, tokens);
+    CompletableFuture<Void> ledger = commitRenewal(workspace, tokens - account.free());
+    ledger.whenComplete((v, e) -> loan.ledgerAnswered());
+    if (!ledger.isDone()) {
+      long wait = site.contactAgeMillis() > CONTACT_MILLIS ? 0 : LEDGER_FIRST_MILLIS;
+      loop.schedule(loan::askLenders, wait, TimeUnit.MILLISECONDS);
     }
-    int[] open = {lenders.size() + 1};
-    Runnable step =
-        () -> {
-          open[0]--;
-          if (result.isDone()) {
-            return;
-          }
-          if (account.reserve(tokens)) {
-            result.complete(Outcome.RESERVED);
-          } else if (open[0] == 0) {
-            result.complete(refusal(workspace, account, tokens));
-          }
-        };
-    for (DaemonEntry lender : lenders) {
-      ask(lender, workspace, tokens - account.free(), account).whenComplete((v, e) -> step.run());
+    return loan.result;
+  }
+
+  /** The search for the tokens of one request. */
+  private final class Loan {
+
+    final CompletableFuture<Outcome> result = new CompletableFuture<>();
+    private final String workspace;
+    private final PrepaidAccount account;
+    private final long tokens;
+    private final List<DaemonEntry> lenders = new ArrayList<>(site.otherRouters());
+    private boolean ledgerOpen = true;
+    private boolean begun;
+    private int open;
+
+    Loan(String workspace, PrepaidAccount account, long tokens) {
+      this.workspace = workspace;
+      this.account = account;
+      this.tokens = tokens;
+      Collections.shuffle(lenders);
+    }
+
+    void ledgerAnswered() {
+      ledgerOpen = false;
+      if (!tryReserve()) {
+        askLenders();
+      }
+    }
+
+    private boolean tryReserve() {
+      if (!result.isDone() && account.reserve(tokens)) {
+        result.complete(Outcome.RESERVED);
+      }
+      return result.isDone();
+    }
+
+    void askLenders() {
+      if (result.isDone() || begun) {
+        return;
+      }
+      begun = true;
+      ask(FIRST_LENDERS);
+    }
+
+    private void ask(int count) {
+      if (lenders.isEmpty()) {
+        giveUpIfDone();
+        return;
+      }
+      int asked = Math.min(count, lenders.size());
+      List<DaemonEntry> now = List.copyOf(lenders.subList(0, asked));
+      lenders.subList(0, asked).clear();
+      long part = (tokens - account.free()) / Math.min(asked, LOAN_PARTS) + 1;
+      open += asked;
+      for (DaemonEntry lender : now) {
+        request(lender, part).whenCompleteAsync((v, e) -> answered(), loop);
+      }
+    }
+
+    private CompletableFuture<Void> request(DaemonEntry lender, long part) {
+      TokenLoanRequest request =
+          TokenLoanRequest.newBuilder().setWorkspace(workspace).setTokens(part).build();
+      return transport
+          .call(
+              lender.getAddress(),
+              Body.newBuilder().setTokenLoanRequest(request).build(),
+              LOAN_TIMEOUT_MILLIS)
+          .thenAcceptAsync(body -> account.borrowed(body.getTokenLoan().getTokens()), loop);
+    }
+
+    private void answered() {
+      open--;
+      if (tryReserve() || open > 0) {
+        return;
+      }
+      // The rest in one round: with many routers some of them are left out.
+      ask(MORE_LENDERS);
+    }
+
+    private void giveUpIfDone() {
+      lenders.clear();
+      if (!ledgerOpen || site.contactAgeMillis() > CONTACT_MILLIS) {
+        result.complete(refusal(workspace, account, tokens));
+      } else {
+        // The ledger's answer decides.
+        begun = false;
+      }
     }
-    commitRenewal().whenComplete((v, e) -> step.run());
-    return result;
   }
 
   private Outcome refusal(String workspace, PrepaidAccount account, long tokens) {
@@ -191,18 +278,6 @@
     return exhausted ? Outcome.EXHAUSTED : Outcome.UNAVAILABLE;
   }
 
-  private CompletableFuture<Void> ask(
-      DaemonEntry lender, String workspace, long tokens, PrepaidAccount account) {
-    TokenLoanRequest request =
-        TokenLoanRequest.newBuilder().setWorkspace(workspace).setTokens(tokens).build();
-    return transport
-        .call(
-            lender.getAddress(),
-            Body.newBuilder().setTokenLoanRequest(request).build(),
-            LOAN_TIMEOUT_MILLIS)
-        .thenAcceptAsync(body -> account.borrowed(body.getTokenLoan().getTokens()), loop);
-  }
-
   private Body lend(Incarnation sender, TokenLoanRequest request) {
     PrepaidAccount account = accounts.get(request.getWorkspace());
     long given = 0;
@@ -214,7 +289,10 @@
           "prepaid: lent %s tokens of workspace %s to %s",
           given, request.getWorkspace(), sender.host());
     }
-    return Body.newBuilder().setTokenLoan(TokenLoan.newBuilder().setTokens(given)).build();
+    long left = account == null ? 0 : account.free();
+    return Body.newBuilder()
+        .setTokenLoan(TokenLoan.newBuilder().setTokens(given).setLeft(left))
+        .build();
   }
 
   // ---------------------------------------------------------------- ledger
@@ -229,32 +307,37 @@
   private void renew() {
     renewSoon = false;
     if (renewal.isDone()) {
-      commitRenewal();
+      commitRenewal("", 0);
     }
   }
 
-  private List<PrepaidLedger.Demand> demands() {
+  /** Returns what to tell the ledger; a waiting request of a workspace needs {@code needed}. */
+  private List<PrepaidLedger.Demand> demands(String waiting, long needed) {
     List<PrepaidLedger.Demand> out = new ArrayList<>();
     for (String workspace : totals.keySet()) {
       PrepaidAccount account = account(workspace);
       long target = target(workspace, account);
-      long excess = account.free() - RETURN_FACTOR * target;
-      if (excess > 0) {
-        account.giveBack(excess);
-        out.add(new PrepaidLedger.Demand(workspace, account.returnedTotal(), 0));
-      } else if (account.free() < target * 3 / 4) {
+      if (workspace.equals(waiting)) {
+        long wanted = Math.max(needed, target - account.free());
+        out.add(new PrepaidLedger.Demand(workspace, account.returnedTotal(), wanted, needed));
+      } else if (account.free() > RETURN_ABOVE * target) {
+        account.giveBack(account.free() - target);
+        out.add(new PrepaidLedger.Demand(workspace, account.returnedTotal(), 0, 0));
+      } else if (account.free() < RENEW_BELOW * target) {
         out.add(
-            new PrepaidLedger.Demand(workspace, account.returnedTotal(), target - account.free()));
+            new PrepaidLedger.Demand(
+                workspace, account.returnedTotal(), target - account.free(), 0));
       }
     }
     return out;
   }
 
-  private CompletableFuture<Void> commitRenewal() {
+  private CompletableFuture<Void> commitRenewal(String waiting, long needed) {
     if (!renewal.isDone()) {
-      return renewal;
+      // The one under way does not ask for this request, so another one follows it.
+      return waiting.isEmpty() ? renewal : renewal.thenCompose(v -> commitRenewal(waiting, needed));
     }
-    List<PrepaidLedger.Demand> demands = demands();
+    List<PrepaidLedger.Demand> demands = demands(waiting, needed);
     if (demands.isEmpty()) {
       return renewal;
     }
@@ -294,7 +377,7 @@
     accounts.forEach(
         (workspace, account) -> {
           account.giveBack(account.free());
-          demands.add(new PrepaidLedger.Demand(workspace, account.returnedTotal(), 0));
+          demands.add(new PrepaidLedger.Demand(workspace, account.returnedTotal(), 0, 0));
         });
     byte[] command =
         SiteCodec.encodeCommand(new SiteCommand.RenewAllotments(router, ++number, demands));
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -44,7 +44,8 @@
             AllotmentDemand.newBuilder()
                 .setWorkspace(d.workspace())
                 .setReturnedTotal(d.returnedTotal())
-                .setWanted(d.wanted()));
+                .setWanted(d.wanted())
+                .setNeeded(d.needed()));
       }
       out.setRenew(renew);
     }
@@ -63,7 +64,8 @@
         List<PrepaidLedger.Demand> demands = new ArrayList<>();
         for (AllotmentDemand d : in.getRenew().getDemandsList()) {
           demands.add(
-              new PrepaidLedger.Demand(d.getWorkspace(), d.getReturnedTotal(), d.getWanted()));
+              new PrepaidLedger.Demand(
+                  d.getWorkspace(), d.getReturnedTotal(), d.getWanted(), d.getNeeded()));
         }
         return new SiteCommand.RenewAllotments(
             in.getRenew().getRouter(), in.getRenew().getNumber(), demands);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
@@ -1,8 +1,10 @@
 package org.goldcrestfall.daemon.site;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.LazyArgs;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteState;
 import org.goldcrestfall.daemon.control.StateMachine;
@@ -12,6 +14,8 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  private static final int LEDGER_LOG_SECONDS = 2;
+
   private final SiteState state = new SiteState();
   private volatile SiteState.StoredConfiguration configuration = state.configuration();
   private volatile Runnable listener = () -> {};
@@ -39,9 +43,27 @@
       logger.atSevere().log("site: entry %s is not a command: %s", index, e.getMessage());
     }
     publish();
+    logger.atInfo().atMostEvery(LEDGER_LOG_SECONDS, TimeUnit.SECONDS).log(
+        "prepaid: available of total by workspace: %s", LazyArgs.lazy(this::ledgerText));
     return SiteCodec.encodeReply(reply);
   }
 
+  private String ledgerText() {
+    StringBuilder out = new StringBuilder();
+    state
+        .configuration()
+        .totals()
+        .forEach(
+            (w, total) ->
+                out.append(w)
+                    .append(' ')
+                    .append(state.available(w))
+                    .append('/')
+                    .append(total)
+                    .append(' '));
+    return out.toString();
+  }
+
   private void publish() {
     if (configuration == state.configuration()) {
       return;
