--- a/core/src/main/java/org/goldcrestfall/core/consensus/Replica.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Replica.java
@@ -62,9 +62,15 @@
     commit = log.baseIndex();
     durable = log.lastIndex();
     now = nowMillis;
-    // A restarted member may have promised a leader its lease, so it waits as if it had just heard.
-    contactAt = nowMillis;
-    resetElection();
+    if (policy.leaseReads()) {
+      // A restarted member may have promised a leader its lease, so it waits as if it had just
+      // heard.
+      contactAt = nowMillis;
+      resetElection();
+    } else {
+      contactAt = nowMillis - timing.electionMinMillis();
+      electionAt = nowMillis + timing.heartbeatMillis() + random.nextLong(timing.leaseMillis());
+    }
   }
 
   long term() {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import com.google.common.flogger.FluentLogger;
+import com.google.common.primitives.Longs;
 import com.google.protobuf.ByteString;
 import io.netty.channel.EventLoop;
 import io.netty.util.concurrent.ScheduledFuture;
@@ -55,7 +56,8 @@
 
   private static final int MAX_WAIT_MILLIS = 2_000;
 
-  private static final byte[] READ_CONFIGURATION = new byte[0];
+  /** Pause between two attempts to learn which configuration is the newest, after a start. */
+  private static final long CATCH_UP_MILLIS = 100;
 
   private record Heard(DaemonEntry daemon, long at) {}
 
@@ -85,6 +87,9 @@
   private final Map<String, Heard> ownRouters = new HashMap<>();
   private boolean copied;
 
+  /** The configuration that was in force at some time after the start; -1 until it is known. */
+  private long indexAfterStart = -1;
+
   /** Creates the part; {@link #start} makes it take calls. */
   public SiteControl(
       DaemonEntry self,
@@ -110,6 +115,7 @@
     transport.handle(KindCase.SITE_WATCH, (sender, body) -> onLoop(() -> watch(sender, body)));
     transport.handle(
         KindCase.UPSTREAM_NOTICE, (sender, body) -> onLoop(() -> notice(body.getUpstreamNotice())));
+    loop.execute(this::catchUp);
     loop.scheduleWithFixedDelay(this::tick, 0, DIRECTORY_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -168,7 +174,7 @@
   /** Returns the newest configuration's document; fails if no leader can confirm which that is. */
   public CompletableFuture<byte[]> readConfiguration() {
     return client
-        .query(READ_CONFIGURATION, COMMIT_MILLIS)
+        .query(SiteStateMachine.READ_DOCUMENT, COMMIT_MILLIS)
         .thenApply(d -> d.length == 0 ? d : Compression.decompress(d));
   }
 
@@ -317,8 +323,31 @@
     return pending.reply;
   }
 
+  /** Learns which configuration is in force, so that none of those before it is given out. */
+  private void catchUp() {
+    client
+        .query(SiteStateMachine.READ_INDEX, COMMIT_MILLIS)
+        .whenCompleteAsync(
+            (index, failure) -> {
+              if (failure == null) {
+                indexAfterStart = Longs.fromByteArray(index);
+                answerWatches();
+              } else {
+                loop.schedule(this::catchUp, CATCH_UP_MILLIS, TimeUnit.MILLISECONDS);
+              }
+            },
+            loop);
+  }
+
+  /** Returns the configuration that may be given out, which is none while the log is replayed. */
+  private SiteState.StoredConfiguration currentConfiguration() {
+    SiteState.StoredConfiguration c = machine.configuration();
+    boolean replayed = indexAfterStart >= 0 && c.index() >= indexAfterStart;
+    return replayed ? c : SiteState.StoredConfiguration.NONE;
+  }
+
   private boolean hasNews(SiteWatch watch) {
-    return machine.configuration().index() > watch.getConfigurationIndex()
+    return currentConfiguration().index() > watch.getConfigurationIndex()
         || watch.getRegistryEpoch() != registryEpoch
         || registry.change() > watch.getRegistryChange();
   }
@@ -343,7 +372,7 @@
     registry
         .changesAfter(sameEpoch ? watch.getRegistryChange() : 0)
         .forEach(e -> out.addUpstreams(SiteCodec.encodeEntry(e)));
-    SiteState.StoredConfiguration c = machine.configuration();
+    SiteState.StoredConfiguration c = currentConfiguration();
     if (c.index() > watch.getConfigurationIndex()) {
       out.setConfigurationIndex(c.index()).setConfiguration(ByteString.copyFrom(c.document()));
     }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
@@ -2,6 +2,7 @@
 
 import com.google.common.flogger.FluentLogger;
 import com.google.common.flogger.LazyArgs;
+import com.google.common.primitives.Longs;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,12 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Asks for the document of the configuration in force, compressed. */
+  static final byte[] READ_DOCUMENT = new byte[0];
+
+  /** Asks for the log index of the configuration in force, as 8 bytes. */
+  static final byte[] READ_INDEX = new byte[1];
+
   private static final int LEDGER_LOG_SECONDS = 2;
 
   private final SiteState state = new SiteState();
@@ -77,8 +84,9 @@
 
   @Override
   public byte[] query(byte[] query) {
-    // The only query asks for the whole state's configuration.
-    return state.configuration().document();
+    return query.length == 0
+        ? state.configuration().document()
+        : Longs.toByteArray(state.configuration().index());
   }
 
   @Override
