Tell other routers of the load at engines, and weigh the reuse of prompts

Each of 15 routers saw only its own requests and load headers that come once in two seconds, so routing was by hash and chance. Excluded by the request log: slow reads, waits for tokens, repeated sends. Now a router tells up to 24 others of its requests and prompt backlog at engines when they change, and a prompt's expected place has a second choice, the same at all routers.

--- a/core/src/main/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoice.java
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoice.java
@@ -30,9 +30,16 @@
   /** The wait that a certain failure stands for, in milliseconds. */
   private static final double FAILURE_MILLIS = 1_000;
 
-  /** The part of a prompt that is expected in the cache of its home. */
+  /** The part of a prompt that is expected in the cache of its home, and of its second choice. */
   private static final double HOME_CONFIDENCE = 0.8;
 
+  private static final double SECOND_CONFIDENCE = 0.4;
+
+  /**
+   * Reading a prompt delays the others in the batch too, so its tokens count more than the wait.
+   */
+  private static final double READING_WEIGHT = 3;
+
   private final String zone;
 
   /** Creates the choice of a router in an availability zone. */
@@ -44,14 +51,14 @@
   public Optional<UpstreamLoad> choose(
       Collection<UpstreamLoad> candidates, Workload workload, long nowMillis) {
     boolean anyUsable = candidates.stream().anyMatch(c -> !c.isPaused(nowMillis));
-    String home = homeOf(candidates, workload);
+    final Homes homes = homesOf(candidates, workload);
     UpstreamLoad best = null;
     double bestWait = Double.MAX_VALUE;
     for (UpstreamLoad c : candidates) {
       if (anyUsable && c.isPaused(nowMillis)) {
         continue;
       }
-      double wait = expectedWait(c, workload, c.id().equals(home), nowMillis);
+      double wait = expectedWait(c, workload, homes.confidence(c), nowMillis);
       if (wait < bestWait) {
         bestWait = wait;
         best = c;
@@ -60,25 +67,41 @@
     return Optional.ofNullable(best);
   }
 
-  private static String homeOf(Collection<UpstreamLoad> candidates, Workload workload) {
-    String key = workload.sharedKey();
-    if (key.isEmpty()) {
-      return "";
+  /** The upstreams where the shared parts of a prompt are expected; empty for none. */
+  private record Homes(String first, String second) {
+
+    double confidence(UpstreamLoad c) {
+      if (c.id().equals(first)) {
+        return HOME_CONFIDENCE;
+      }
+      return c.id().equals(second) ? SECOND_CONFIDENCE : 0;
     }
-    String home = "";
-    long highest = Long.MIN_VALUE;
+  }
+
+  private static Homes homesOf(Collection<UpstreamLoad> candidates, Workload workload) {
+    String key = workload.sharedKey();
+    String first = "";
+    String second = "";
+    long firstWeight = Long.MIN_VALUE;
+    long secondWeight = Long.MIN_VALUE;
     for (UpstreamLoad c : candidates) {
-      long weight = RendezvousHash.weight(key, c.id());
-      if (weight >= highest) {
-        highest = weight;
-        home = c.id();
+      long weight = key.isEmpty() ? Long.MIN_VALUE : RendezvousHash.weight(key, c.id());
+      if (weight > firstWeight) {
+        second = first;
+        secondWeight = firstWeight;
+        first = c.id();
+        firstWeight = weight;
+      } else if (weight > secondWeight) {
+        second = c.id();
+        secondWeight = weight;
       }
     }
-    return home;
+    return new Homes(first, second);
   }
 
   /** Returns the wait in milliseconds that a request is expected to have at an upstream. */
-  private double expectedWait(UpstreamLoad c, Workload workload, boolean isHome, long nowMillis) {
+  private double expectedWait(
+      UpstreamLoad c, Workload workload, double confidence, long nowMillis) {
     int load = c.load(nowMillis);
     int slots = Math.max(1, c.slots());
     double wait;
@@ -86,11 +109,12 @@
       wait = PLAIN_MILLIS * (1 + Math.max(0, load + 1 - slots) / (double) slots) + load;
     } else {
       double uncached = c.uncachedTokens(workload);
-      if (isHome) {
+      if (confidence > 0) {
         long own = workload.parts().get(workload.parts().size() - 1).tokens();
-        uncached = Math.min(uncached, own + (1 - HOME_CONFIDENCE) * uncached);
+        uncached = Math.min(uncached, own + (1 - confidence) * uncached);
       }
-      wait = (c.promptBacklog() + uncached) / PREFILL_TOKENS_PER_MILLI + MILLIS_PER_RUNNING * load;
+      double tokens = c.promptBacklog() + READING_WEIGHT * uncached;
+      wait = tokens / PREFILL_TOKENS_PER_MILLI + MILLIS_PER_RUNNING * load;
       wait += Math.max(0, load + 1 - slots) * SLOT_WAIT_MILLIS;
     }
     wait *= c.slowness(nowMillis);
--- a/core/src/main/java/org/goldcrestfall/core/dispatch/UpstreamLoad.java
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/UpstreamLoad.java
@@ -10,7 +10,7 @@
 public final class UpstreamLoad {
 
   /** A reported load is used so long. */
-  private static final long REPORT_MILLIS = 1_500;
+  private static final long REPORT_MILLIS = 400;
 
   /** First pause after a failure; doubles with each further one in a row. */
   private static final long MIN_PAUSE_MILLIS = 250;
@@ -40,6 +40,8 @@
 
   private int running;
   private long promptBacklog;
+  private int othersRunning;
+  private long othersBacklog;
   private int reportedRunning;
   private int reportedWaiting;
   private long reportedAt = Long.MIN_VALUE / 2;
@@ -90,6 +92,12 @@
     heardAt = nowMillis;
   }
 
+  /** Sets the sums of what other routers have told of their requests here. */
+  public void setOthers(int nowRunning, long nowBacklog) {
+    othersRunning = nowRunning;
+    othersBacklog = nowBacklog;
+  }
+
   /** Takes the load that an answer reports. */
   public void onReport(int nowRunning, int nowWaiting, int nowSlots, long nowMillis) {
     reportedRunning = nowRunning;
@@ -155,10 +163,11 @@
 
   /** Returns the requests in the upstream as far as known, this router's included. */
   public int load(long nowMillis) {
+    int told = running + othersRunning;
     if (nowMillis - reportedAt > REPORT_MILLIS) {
-      return running;
+      return told;
     }
-    return Math.max(running, reportedRunning + reportedWaiting + sentSinceReport);
+    return Math.max(told, reportedRunning + reportedWaiting + sentSinceReport);
   }
 
   /** Returns the share of recent requests that failed, and its decay over time. */
@@ -174,10 +183,17 @@
   }
 
   /** Returns the prompt tokens of this router's requests that have no answer yet. */
-  public long promptBacklog() {
+  public long ownBacklog() {
     return promptBacklog;
   }
 
+  /**
+   * Returns the prompt tokens of all routers' requests that have no answer yet, as far as known.
+   */
+  public long promptBacklog() {
+    return promptBacklog + othersBacklog;
+  }
+
   /** Returns this router's requests there. */
   public int running() {
     return running;
--- a/core/src/test/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoiceTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoiceTest.java
@@ -106,6 +106,46 @@
     assertThat(used).hasSize(3);
   }
 
+  /** Many routers with the same late reports must not all choose the same engine. */
+  @Example
+  void loadThatOtherRoutersTellIsAvoided() {
+    FleetLoad fleet = new FleetLoad();
+    List<UpstreamLoad> all = List.of(upstream("a"), upstream("b"), upstream("c"));
+    Workload w = prompt("plan-7", "own");
+    String home = choose(all, w, 0);
+    fleet.tell("other", home, new FleetLoad.Share(3, 60_000), 0);
+    for (UpstreamLoad u : all) {
+      FleetLoad.Share sum = fleet.sum(u.id(), 0);
+      u.setOthers(sum.running(), sum.backlog());
+    }
+    assertThat(choose(all, w, 0)).isNotEqualTo(home);
+  }
+
+  @Example
+  void whatDeadRouterToldIsForgotten() {
+    FleetLoad fleet = new FleetLoad();
+    fleet.tell("dead", "a", new FleetLoad.Share(3, 60_000), 0);
+    assertThat(fleet.sum("a", FleetLoad.REPEAT_MILLIS).running()).isEqualTo(3);
+    assertThat(fleet.sum("a", 10 * FleetLoad.REPEAT_MILLIS).running()).isZero();
+  }
+
+  /** After a burst the engine that took it is not the only one that knows the prompt. */
+  @Example
+  void secondChoiceIsTheSameForAllRouters() {
+    Set<String> seconds = new HashSet<>();
+    for (int router = 0; router < 10; router++) {
+      List<UpstreamLoad> own = new ArrayList<>();
+      for (String id : List.of("a", "b", "c", "d", "e", "f")) {
+        own.add(upstream(id));
+      }
+      Workload w = prompt("plan-7", "own-" + router);
+      String home = choose(own, w, 0);
+      own.forEach(u -> u.setOthers(0, u.id().equals(home) ? 60_000 : 0));
+      seconds.add(choose(own, w, 0));
+    }
+    assertThat(seconds).hasSize(1);
+  }
+
   @Example
   void noCandidateIsNoChoice() {
     assertThat(CHOICE.choose(List.of(), Workload.PLAIN, 0)).isEmpty();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -59,6 +59,9 @@
   /** When a caller should come back after a refusal for want of room, with jitter of as much. */
   private static final long RETRY_AFTER_MILLIS = 400;
 
+  /** When a caller should come back for whose request no prepaid tokens were at hand. */
+  private static final long TOKENS_RETRY_MILLIS = 2_000;
+
   /** A head within this time is expected of a plain service. */
   private static final double PLAIN_EXPECTED_MILLIS = 100;
 
@@ -195,7 +198,7 @@
     } else if (outcome == PrepaidTokens.Outcome.EXHAUSTED) {
       refuse(ErrorKind.BUDGET_EXHAUSTED, "The prepaid tokens do not cover the request.", 0);
     } else {
-      refuse(ErrorKind.BUDGET_UNAVAILABLE, "No prepaid tokens are at hand.", 1_000);
+      refuse(ErrorKind.BUDGET_UNAVAILABLE, "No prepaid tokens are at hand.", TOKENS_RETRY_MILLIS);
     }
   }
 
@@ -354,12 +357,21 @@
               ? PLAIN_EXPECTED_MILLIS
               : STREAM_EXPECTED_MILLIS + (uncached + upstream.load().promptBacklog()) / 60.0;
       upstream.load().onSend(workload, uncached, now);
+      loadChanged();
     }
 
     private void firstByte() {
       if (waiting) {
         waiting = false;
         upstream.load().onFirstByte(uncached);
+        loadChanged();
+      }
+    }
+
+    /** Tells other routers; plain services have no batch whose load they would have to know. */
+    private void loadChanged() {
+      if (workload.promptTokens() > 0) {
+        gateway.loads().changed(upstream.entry().id());
       }
     }
 
@@ -369,6 +381,7 @@
       if (open) {
         open = false;
         upstream.load().onEnd();
+        loadChanged();
       }
       if (collected != null) {
         collected.release();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import org.goldcrestfall.daemon.site.PrepaidTokens;
 import org.goldcrestfall.daemon.site.SiteClient;
 import org.goldcrestfall.daemon.site.SiteListener;
+import org.goldcrestfall.wire.PeerTransport;
 
 /** What all requests of a router share. Confined to one event loop. */
 public final class Gateway implements SiteListener {
@@ -35,6 +36,7 @@
   private final Set<ClientConnection> clients = new HashSet<>();
   private SiteClient site;
   private PrepaidTokens prepaid;
+  private LoadExchange loads;
   private GatewayConfiguration configuration;
   private long bufferedBytes;
   private int openExchanges;
@@ -58,9 +60,10 @@
   }
 
   /** Sets the view of the site and begins the periodic work. */
-  public void attach(SiteClient site, PrepaidTokens prepaid) {
+  public void attach(SiteClient site, PrepaidTokens prepaid, PeerTransport transport) {
     this.site = site;
     this.prepaid = prepaid;
+    loads = new LoadExchange(site, transport, loop, upstreams);
     loop.scheduleWithFixedDelay(this::sweep, SWEEP_MILLIS, SWEEP_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -177,6 +180,10 @@
     return prepaid;
   }
 
+  LoadExchange loads() {
+    return loads;
+  }
+
   int routerCount() {
     return site.routerCount();
   }
--- /dev/null
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/LoadExchange.java
@@ -0,0 +1,136 @@
+package org.goldcrestfall.daemon.gateway;
+
+import io.netty.channel.EventLoop;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.goldcrestfall.core.common.RendezvousHash;
+import org.goldcrestfall.core.dispatch.FleetLoad;
+import org.goldcrestfall.core.dispatch.UpstreamLoad;
+import org.goldcrestfall.daemon.site.SiteClient;
+import org.goldcrestfall.wire.PeerTransport;
+import org.goldcrestfall.wire.generated.Body;
+import org.goldcrestfall.wire.generated.Body.KindCase;
+import org.goldcrestfall.wire.generated.DaemonEntry;
+import org.goldcrestfall.wire.generated.LoadNotice;
+import org.goldcrestfall.wire.generated.UpstreamShare;
+
+/**
+ * Tells other routers of this router's requests at engines, and takes what they tell, so that all
+ * see the load of an engine before its own reports do. Confined to the router's event loop.
+ */
+final class LoadExchange {
+
+  /** Changes within this time are told together. */
+  private static final long GATHER_MILLIS = 10;
+
+  /** In a larger fleet each router tells only so many others. */
+  private static final int MAX_PEERS = 24;
+
+  private final SiteClient site;
+  private final PeerTransport transport;
+  private final EventLoop loop;
+  private final UpstreamConnections upstreams;
+  private final String self;
+  private final FleetLoad fleet = new FleetLoad();
+  private final Set<String> changed = new HashSet<>();
+  private final Map<String, FleetLoad.Share> told = new HashMap<>();
+  private boolean scheduled;
+
+  LoadExchange(
+      SiteClient site, PeerTransport transport, EventLoop loop, UpstreamConnections upstreams) {
+    this.site = site;
+    this.transport = transport;
+    this.loop = loop;
+    this.upstreams = upstreams;
+    self = site.address();
+    transport.handle(
+        KindCase.LOAD_NOTICE,
+        (sender, body) -> {
+          loop.execute(() -> take(body.getLoadNotice()));
+          return CompletableFuture.completedFuture(null);
+        });
+    loop.scheduleWithFixedDelay(
+        this::repeat, FleetLoad.REPEAT_MILLIS, FleetLoad.REPEAT_MILLIS, TimeUnit.MILLISECONDS);
+  }
+
+  /** Notes that this router's requests at an upstream have changed. */
+  void changed(String upstream) {
+    changed.add(upstream);
+    if (!scheduled) {
+      scheduled = true;
+      loop.schedule(this::tell, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  private void tell() {
+    scheduled = false;
+    LoadNotice.Builder notice = LoadNotice.newBuilder().setRouter(self);
+    for (String id : changed) {
+      Upstream u = upstreams.find(id);
+      FleetLoad.Share share =
+          u == null
+              ? new FleetLoad.Share(0, 0)
+              : new FleetLoad.Share(u.load().running(), u.load().ownBacklog());
+      if (share.running() == 0) {
+        told.remove(id);
+      } else {
+        told.put(id, share);
+      }
+      notice.addShares(encode(id, share));
+    }
+    changed.clear();
+    send(notice);
+  }
+
+  private void repeat() {
+    long now = upstreams.now();
+    upstreams.all().forEach(u -> update(u.load(), now));
+    if (!told.isEmpty()) {
+      LoadNotice.Builder notice = LoadNotice.newBuilder().setRouter(self);
+      told.forEach((id, share) -> notice.addShares(encode(id, share)));
+      send(notice);
+    }
+  }
+
+  private static UpstreamShare encode(String id, FleetLoad.Share share) {
+    return UpstreamShare.newBuilder()
+        .setUpstream(id)
+        .setRunning(share.running())
+        .setBacklog(share.backlog())
+        .build();
+  }
+
+  private void send(LoadNotice.Builder notice) {
+    Body body = Body.newBuilder().setLoadNotice(notice).build();
+    List<DaemonEntry> others =
+        RendezvousHash.subset(self, site.otherRouters(), DaemonEntry::getAddress, MAX_PEERS);
+    others.forEach(r -> transport.send(r.getAddress(), body));
+  }
+
+  private void take(LoadNotice notice) {
+    long now = upstreams.now();
+    for (UpstreamShare s : notice.getSharesList()) {
+      fleet.tell(
+          notice.getRouter(),
+          s.getUpstream(),
+          new FleetLoad.Share(s.getRunning(), s.getBacklog()),
+          now);
+      Upstream u = upstreams.find(s.getUpstream());
+      if (u == null) {
+        fleet.forget(s.getUpstream());
+      } else {
+        update(u.load(), now);
+      }
+    }
+  }
+
+  private void update(UpstreamLoad load, long now) {
+    FleetLoad.Share sum = fleet.sum(load.id(), now);
+    load.setOthers(sum.running(), sum.backlog());
+  }
+}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
@@ -10,6 +10,7 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -96,6 +97,16 @@
     return byService.getOrDefault(service, Map.of());
   }
 
+  /** Returns an upstream that may get new requests, or null. */
+  Upstream find(String id) {
+    return upstreams.get(id);
+  }
+
+  /** Returns all upstreams that may get new requests. */
+  Collection<Upstream> all() {
+    return upstreams.values();
+  }
+
   /** Returns whether any service has an upstream. */
   boolean isEmpty() {
     return upstreams.isEmpty();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
@@ -86,6 +86,11 @@
     return controls.isEmpty() ? seeds.get() : List.copyOf(controls.keySet());
   }
 
+  /** Returns the peer address of this router. */
+  public String address() {
+    return self.getAddress();
+  }
+
   /** Returns the other routers. */
   public List<DaemonEntry> otherRouters() {
     return routers.values().stream()
