Deliver a whole answer also when bytes follow it, and test the gateway on loopback

Cause: GatewayTest answered a request twice in one write. The second head reached the request before its answer was handed over, which became 502 although the answer was whole. Excluded: a wrong id, since the test gives each request its own. What follows a whole answer now only keeps the connection from being used again. The test failed before and passes after; 21 cases run a router between raw sockets.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -120,7 +120,7 @@
     try {
       if (receiver == null) {
         // Bytes that no request has asked for.
-        fail("unexpected bytes on an idle connection");
+        close();
         return;
       }
       heard = true;
@@ -220,6 +220,11 @@
   }
 
   private void fail(String reason) {
+    if (ended && receiver != null) {
+      // The answer is whole; only what came behind it makes the connection unusable.
+      keep = false;
+      return;
+    }
     Receiver broken = receiver;
     receiver = null;
     close();
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -0,0 +1,187 @@
+package org.goldcrestfall.daemon.gateway;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import com.google.common.collect.ImmutableList;
+import com.google.common.collect.ImmutableSet;
+import io.netty.channel.Channel;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.gateway.ClientLimits;
+import org.goldcrestfall.core.gateway.GatewayConfiguration;
+import org.goldcrestfall.core.gateway.Route;
+import org.goldcrestfall.core.gateway.RouteKind;
+import org.goldcrestfall.core.gateway.ServiceSettings;
+import org.goldcrestfall.core.gateway.WeightedService;
+import org.goldcrestfall.core.gateway.WorkspaceSettings;
+import org.goldcrestfall.core.registry.UpstreamEntry;
+import org.goldcrestfall.core.registry.UpstreamState;
+import org.goldcrestfall.daemon.site.PrepaidTokens;
+import org.goldcrestfall.daemon.site.SiteClient;
+import org.goldcrestfall.wire.NettyPeerTransport;
+import org.goldcrestfall.wire.PeerSettings;
+import org.goldcrestfall.wire.TransportListener;
+import org.goldcrestfall.wire.generated.DaemonEntry;
+
+/** A router on loopback that no control daemon has told anything; tests tell it themselves. */
+final class GatewayFixture implements AutoCloseable {
+
+  static final GatewayDialect DIALECT =
+      new GatewayDialect(
+          "X-Id",
+          "X-Remaining",
+          "X-Signature",
+          "X-Expect",
+          "X-Not-Run",
+          "X-Workspace",
+          "X-Tokens",
+          "X-Parts",
+          "X-Load",
+          "X-Rank",
+          "Last-Event-Id",
+          "Token ",
+          ImmutableSet.of("x-expect", "x-workspace", "x-rank", "x-hold"));
+
+  private static final int LIMIT_SECONDS = 10;
+
+  final Gateway gateway;
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = (EventLoop) group.next();
+  private final NettyPeerTransport transport;
+  private final Channel server;
+  private int requests;
+  private final List<ScriptedUpstream> upstreams = new ArrayList<>();
+
+  GatewayFixture() throws Exception {
+    MillisClock clock = MillisClock.monotonic();
+    transport =
+        new NettyPeerTransport(
+            new PeerSettings("r", "127.0.0.1", 0, "test", new byte[16]),
+            TransportListener.NONE,
+            group);
+    gateway =
+        new Gateway(
+            new GatewaySettings("z", 0.2, 100, 10_000, 1 << 20),
+            DIALECT,
+            loop,
+            clock,
+            new GatewayMetrics());
+    DaemonEntry self = DaemonEntry.newBuilder().setAddress(transport.address()).build();
+    SiteClient site =
+        new SiteClient(
+            self, () -> List.of("127.0.0.1:1"), transport, d -> null, loop, clock, gateway);
+    PrepaidTokens prepaid = new PrepaidTokens("r#1", site, transport, loop, clock);
+    gateway.attach(site, prepaid, transport);
+    server = GatewayServer.bind(gateway, loop, "127.0.0.1", 0);
+  }
+
+  static Route route(String prefix, RouteKind kind, int timeout, int attempts, boolean resumable) {
+    return new Route(
+        prefix,
+        "h",
+        prefix,
+        kind,
+        timeout,
+        500,
+        0,
+        ImmutableList.of(new WeightedService("s", 1)),
+        attempts,
+        false,
+        false,
+        resumable,
+        500);
+  }
+
+  void configure(Route... routes) throws Exception {
+    var workspace =
+        new WorkspaceSettings(
+            "mill", ImmutableList.of("k"), OptionalInt.empty(), OptionalLong.empty());
+    var configuration =
+        new GatewayConfiguration(
+            1,
+            List.of(routes),
+            Map.of("s", new ServiceSettings("s", 100, Optional.empty())),
+            ClientLimits.DEFAULT,
+            List.of(workspace));
+    onLoop(() -> gateway.configurationChanged(configuration));
+  }
+
+  ScriptedUpstream upstream(String id, ScriptedUpstream.Script script) throws Exception {
+    ScriptedUpstream u = new ScriptedUpstream(script);
+    upstreams.add(u);
+    var entry = new UpstreamEntry(id, "s", u.address(), "z", UpstreamState.READY, 4, 1, 1, 0);
+    onLoop(() -> gateway.upstreamChanged(entry));
+    return u;
+  }
+
+  void onLoop(Runnable task) throws Exception {
+    loop.submit(task).get(LIMIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  Socket connect() throws IOException {
+    InetSocketAddress a = (InetSocketAddress) server.localAddress();
+    Socket socket = new Socket(a.getAddress(), a.getPort());
+    socket.setSoTimeout(LIMIT_SECONDS * 1_000);
+    return socket;
+  }
+
+  /** Sends a request that closes its connection, and returns all bytes of the answer. */
+  String call(String method, String path, String headers, String body) throws IOException {
+    try (Socket socket = connect()) {
+      String text =
+          method
+              + " "
+              + path
+              + " HTTP/1.1\r\nHost: h\r\nX-Id: "
+              + ++requests
+              + "\r\nAuthorization: Token k\r\n"
+              + "Connection: close\r\nContent-Length: "
+              + body.length()
+              + "\r\n"
+              + headers
+              + "\r\n"
+              + body;
+      return raw(socket, text);
+    }
+  }
+
+  static String raw(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(ISO_8859_1));
+    return new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
+  }
+
+  static void await(BooleanSupplier condition) throws InterruptedException {
+    for (int i = 0; i < LIMIT_SECONDS * 100; i++) {
+      if (condition.getAsBoolean()) {
+        return;
+      }
+      Thread.sleep(10);
+    }
+    throw new AssertionError("the condition did not hold in " + LIMIT_SECONDS + " s");
+  }
+
+  @Override
+  public void close() throws Exception {
+    server.close().sync();
+    transport.close();
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+    for (ScriptedUpstream u : upstreams) {
+      u.close();
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -0,0 +1,307 @@
+package org.goldcrestfall.daemon.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.goldcrestfall.daemon.gateway.GatewayFixture.route;
+
+import java.io.IOException;
+import java.net.Socket;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.goldcrestfall.core.gateway.RouteKind;
+
+/** Runs a router between raw sockets; guards against wrong, doubled, mixed and lost answers. */
+class GatewayTest {
+
+  private static final String SIGNED = "X-Signature: sig\r\n";
+
+  private GatewayFixture fixture;
+
+  @BeforeTry
+  void open() throws Exception {
+    fixture = new GatewayFixture();
+    fixture.configure(
+        route("/safe/", RouteKind.SAFE, 3_000, 2, false),
+        route("/unsafe/", RouteKind.UNSAFE, 3_000, 1, false),
+        route("/quick/", RouteKind.UNSAFE, 200, 1, false),
+        route("/stream/", RouteKind.STREAMING, 3_000, 1, false),
+        route("/resume/", RouteKind.STREAMING, 3_000, 2, true));
+  }
+
+  @AfterTry
+  void close() throws Exception {
+    fixture.close();
+  }
+
+  private static String head(ScriptedUpstream.Call c) {
+    return "HTTP/1.1 200 OK\r\nX-Id: " + c.header("X-Id") + "\r\n";
+  }
+
+  @Example
+  void answerComesUnchangedAndOnlyTheSystemSetsItsOwnHeaders() throws Exception {
+    ScriptedUpstream u =
+        fixture.upstream("u1", c -> c.reply(201, SIGNED + "X-Other: o\r\n", "hello"));
+    String answer =
+        fixture.call(
+            "POST",
+            "/unsafe/a?b=c",
+            "X-Workspace: forged\r\nX-Hold: 1\r\nX-Remaining: 900\r\n",
+            "in");
+    assertThat(answer).startsWith("HTTP/1.1 201 ").contains("X-Other: o").endsWith("\r\n\r\nhello");
+    ScriptedUpstream.Call call = u.calls.get(0);
+    assertThat(call.head()).startsWith("POST /unsafe/a?b=c HTTP/1.1\r\n");
+    assertThat(call.body()).isEqualTo("in");
+    assertThat(call.header("X-Workspace")).isEqualTo("mill");
+    assertThat(call.header("X-Expect")).isEqualTo("u1");
+    assertThat(call.header("X-Hold")).isEmpty();
+    assertThat(call.header("Authorization")).isEmpty();
+    assertThat(Integer.parseInt(call.header("X-Remaining"))).isBetween(1, 900);
+  }
+
+  @Example
+  void successWithoutSignatureIsNoSuccess() throws Exception {
+    fixture.upstream("u1", c -> c.reply(200, "", "forged"));
+    assertThat(fixture.call("POST", "/unsafe/a", "", "")).startsWith("HTTP/1.1 502 ");
+  }
+
+  @Example
+  void unsafeRequestThatMayHaveRunIsNeitherRepeatedNorCalledNotRun() throws Exception {
+    ScriptedUpstream one = fixture.upstream("u1", ScriptedUpstream.Call::reset);
+    ScriptedUpstream two = fixture.upstream("u2", ScriptedUpstream.Call::reset);
+    assertThat(fixture.call("POST", "/unsafe/a", "", "")).startsWith("HTTP/1.1 502 ");
+    assertThat(one.calls.size() + two.calls.size()).isEqualTo(1);
+  }
+
+  @Example
+  void safeRequestIsRepeatedAtAnotherUpstream() throws Exception {
+    ScriptedUpstream bad = fixture.upstream("u1", ScriptedUpstream.Call::reset);
+    assertThat(fixture.call("GET", "/safe/a", "", "")).startsWith("HTTP/1.1 502 ");
+    fixture.upstream("u2", c -> c.reply(200, SIGNED, "ok"));
+    for (int i = 0; i < 5; i++) {
+      assertThat(fixture.call("GET", "/safe/a", "", "")).startsWith("HTTP/1.1 200 ");
+    }
+    assertThat(bad.calls).isNotEmpty();
+  }
+
+  @Example
+  void failedSafeRequestIsRepeatedAndTheLastAnswerIsPassedOn() throws Exception {
+    fixture.upstream("u1", c -> c.reply(500, SIGNED, "one"));
+    fixture.upstream("u2", c -> c.reply(500, SIGNED, "two"));
+    assertThat(fixture.call("GET", "/safe/a", "", "")).startsWith("HTTP/1.1 500 ");
+  }
+
+  @Example
+  void rejectionByTheUpstreamIsNotRunWithTimeToComeBack() throws Exception {
+    fixture.upstream("u1", c -> c.reply(503, "X-Not-Run: 1\r\n", ""));
+    String answer = fixture.call("POST", "/unsafe/a", "", "");
+    assertThat(answer).startsWith("HTTP/1.1 503 ").containsIgnoringCase("retry-after: ");
+    assertThat(answer).contains("\"run\":\"not_run\"");
+  }
+
+  @Example
+  void statusThatPromisesNotRunIsNotPassedOnFromAnUpstreamThatDidNotSaySo() throws Exception {
+    fixture.upstream("u1", c -> c.reply(503, SIGNED, ""));
+    assertThat(fixture.call("POST", "/unsafe/a", "", "")).startsWith("HTTP/1.1 502 ");
+  }
+
+  @Example
+  void answerToAnotherRequestIsSkipped() throws Exception {
+    fixture.upstream(
+        "u1",
+        c -> {
+          c.write(ScriptedUpstream.answer("other", 200, SIGNED, "stray"));
+          c.reply(200, SIGNED, "mine");
+        });
+    assertThat(fixture.call("POST", "/unsafe/a", "", "")).endsWith("mine");
+  }
+
+  @Example
+  void bytesBehindAnAnswerNeverReachAnotherRequest() throws Exception {
+    fixture.upstream(
+        "u1",
+        c -> {
+          c.reply(200, SIGNED, "mine");
+          c.write(head(c) + SIGNED + "Content-Length: 3\r\n\r\nbad");
+        });
+    for (int i = 0; i < 10; i++) {
+      assertThat(fixture.call("POST", "/unsafe/a", "", "")).endsWith("mine");
+    }
+  }
+
+  @Example
+  void truncatedAnswerIsAFailure() throws Exception {
+    fixture.upstream(
+        "u1",
+        c -> {
+          c.write(head(c) + SIGNED + "Content-Length: 50\r\n\r\nhalf");
+          c.socket().close();
+        });
+    assertThat(fixture.call("POST", "/unsafe/a", "", "")).startsWith("HTTP/1.1 502 ");
+  }
+
+  @Example
+  void answerWithoutLengthEndsWithItsConnection() throws Exception {
+    fixture.upstream(
+        "u1",
+        c -> {
+          c.write(head(c) + SIGNED + "\r\nall of it");
+          c.socket().close();
+        });
+    assertThat(fixture.call("POST", "/unsafe/a", "", ""))
+        .startsWith("HTTP/1.1 200 ")
+        .endsWith("all of it");
+  }
+
+  @Example
+  void answerWithoutLengthThatIsResetIsAFailure() throws Exception {
+    fixture.upstream(
+        "u1",
+        c -> {
+          c.write(head(c) + SIGNED + "\r\npart");
+          Thread.sleep(100);
+          c.reset();
+        });
+    assertThat(fixture.call("POST", "/unsafe/a", "", "")).startsWith("HTTP/1.1 502 ");
+  }
+
+  private static void stream(ScriptedUpstream.Call c, String events) throws IOException {
+    c.write(
+        head(c)
+            + SIGNED
+            + "Transfer-Encoding: chunked\r\n\r\n"
+            + Integer.toHexString(events.length())
+            + "\r\n"
+            + events
+            + "\r\n");
+  }
+
+  @Example
+  void brokenStreamGoesOnBehindItsLastWholeEvent() throws Exception {
+    ScriptedUpstream.Script script =
+        c -> {
+          String last = c.header("Last-Event-Id");
+          if (last.isEmpty()) {
+            stream(c, "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+            Thread.sleep(100);
+            c.reset();
+          } else {
+            stream(c, "id: 3\ndata: c after " + last + "\n\n");
+            c.write("0\r\n\r\n");
+          }
+        };
+    fixture.upstream("u1", script);
+    fixture.upstream("u2", script);
+    String answer = fixture.call("POST", "/resume/a", "", "");
+    assertThat(answer).contains("id: 2\ndata: b\n\n").contains("id: 3\ndata: c after 2\n\n");
+    assertThat(answer).doesNotContain("id: 3\nda\r\n").endsWith("0\r\n\r\n");
+  }
+
+  @Example
+  void brokenStreamThatMayNotBeResumedDoesNotLookComplete() throws Exception {
+    ScriptedUpstream.Script script =
+        c -> {
+          stream(c, "id: 1\ndata: a\n\n");
+          Thread.sleep(100);
+          c.reset();
+        };
+    ScriptedUpstream one = fixture.upstream("u1", script);
+    ScriptedUpstream two = fixture.upstream("u2", script);
+    String answer = fixture.call("POST", "/stream/a", "", "");
+    assertThat(answer).contains("id: 1").doesNotEndWith("0\r\n\r\n");
+    assertThat(one.calls.size() + two.calls.size()).isEqualTo(1);
+  }
+
+  @Example
+  void silentUpstreamIsGivenUpAtTheTimeoutOfTheRoute() throws Exception {
+    ScriptedUpstream u = fixture.upstream("u1", c -> Thread.sleep(5_000));
+    assertThat(fixture.call("POST", "/quick/a", "", "")).startsWith("HTTP/1.1 504 ");
+    assertThat(u.calls).hasSize(1);
+  }
+
+  @Example
+  void callerThatLeavesFreesTheUpstream() throws Exception {
+    ScriptedUpstream u =
+        fixture.upstream(
+            "u1",
+            c -> {
+              stream(c, "id: 1\ndata: a\n\n");
+              c.socket().getInputStream().read();
+              throw new IOException("closed by the router");
+            });
+    try (Socket socket = fixture.connect()) {
+      socket
+          .getOutputStream()
+          .write(
+              ("POST /stream/a HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nAuthorization: Token k\r\n"
+                      + "Content-Length: 0\r\n\r\n")
+                  .getBytes());
+      assertThat(socket.getInputStream().read()).isPositive();
+    }
+    GatewayFixture.await(() -> u.closedByPeer.size() == 1);
+  }
+
+  @Example
+  void lengthThatCanBeReadInTwoWaysIsRefused() throws Exception {
+    ScriptedUpstream u = fixture.upstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    try (Socket socket = fixture.connect()) {
+      String answer =
+          GatewayFixture.raw(
+              socket,
+              "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nAuthorization: Token k\r\n"
+                  + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+                  + "POST /unsafe/smuggled HTTP/1.1\r\nHost: h\r\nX-Id: 8\r\n"
+                  + "Authorization: Token k\r\nContent-Length: 0\r\n\r\n");
+      assertThat(answer).startsWith("HTTP/1.1 400 ");
+    }
+    assertThat(u.calls).isEmpty();
+  }
+
+  @Example
+  void upstreamAtAnotherAddressIsForgotten() throws Exception {
+    ScriptedUpstream wrong = fixture.upstream("u1", c -> c.reply(421, "", ""));
+    assertThat(fixture.call("POST", "/unsafe/a", "", "")).startsWith("HTTP/1.1 503 ");
+    assertThat(fixture.call("POST", "/unsafe/a", "", "")).startsWith("HTTP/1.1 503 ");
+    assertThat(wrong.calls).hasSize(1);
+  }
+
+  @Example
+  void unknownKeyRouteAndMissingUpstreamAreToldApart() throws Exception {
+    String strange =
+        "GET /safe/a HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nAuthorization: Token other\r\n"
+            + "Connection: close\r\n\r\n";
+    try (Socket socket = fixture.connect()) {
+      assertThat(GatewayFixture.raw(socket, strange)).startsWith("HTTP/1.1 401 ");
+    }
+    assertThat(fixture.call("GET", "/nowhere", "", "")).startsWith("HTTP/1.1 404 ");
+    assertThat(fixture.call("GET", "/safe/a", "", ""))
+        .startsWith("HTTP/1.1 503 ")
+        .containsIgnoringCase("retry-after: ");
+  }
+
+  @Example
+  void drainingRouterAnswersAndAsksToClose() throws Exception {
+    fixture.upstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    try (Socket socket = fixture.connect()) {
+      fixture.onLoop(fixture.gateway::startDraining);
+      assertThat(fixture.gateway.isReady()).isFalse();
+      String answer =
+          GatewayFixture.raw(
+              socket,
+              "GET /safe/a HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nAuthorization: Token k\r\n\r\n");
+      assertThat(answer).startsWith("HTTP/1.1 200 ").containsIgnoringCase("connection: close");
+    }
+  }
+
+  @Example
+  void secondRequestOnAConnectionWaitsForTheFirstAnswer() throws Exception {
+    fixture.upstream("u1", c -> c.reply(200, SIGNED, c.head().contains("/one") ? "1st" : "2nd"));
+    try (Socket socket = fixture.connect()) {
+      String head = " HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nAuthorization: Token k\r\n";
+      String answer =
+          GatewayFixture.raw(
+              socket,
+              "GET /safe/one" + head + "\r\nGET /safe/two" + head + "Connection: close\r\n\r\n");
+      assertThat(answer.indexOf("1st")).isPositive().isLessThan(answer.indexOf("2nd"));
+    }
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/ScriptedUpstream.java
@@ -0,0 +1,135 @@
+package org.goldcrestfall.daemon.gateway;
+
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
+
+/** An upstream on loopback that answers each request as a test says. */
+final class ScriptedUpstream implements AutoCloseable {
+
+  /** What the upstream does with a request. */
+  interface Script {
+    void answer(Call call) throws Exception;
+  }
+
+  /** A request as it arrived, and the connection to answer on. */
+  record Call(String head, String body, Socket socket) {
+
+    /** Returns the value of a header, or an empty string. */
+    String header(String name) {
+      for (String line : head.split("\r\n")) {
+        if (line.toLowerCase().startsWith(name.toLowerCase() + ": ")) {
+          return line.substring(name.length() + 2);
+        }
+      }
+      return "";
+    }
+
+    void write(String text) throws IOException {
+      OutputStream out = socket.getOutputStream();
+      out.write(text.getBytes(ISO_8859_1));
+      out.flush();
+    }
+
+    /** Writes a whole answer to this request. */
+    void reply(int status, String headers, String content) throws IOException {
+      write(answer(header("X-Id"), status, headers, content));
+    }
+
+    /** Closes so that the peer sees a reset. */
+    void reset() throws IOException {
+      socket.setSoLinger(true, 0);
+      socket.close();
+    }
+  }
+
+  final List<Call> calls = new CopyOnWriteArrayList<>();
+  final List<Socket> closedByPeer = new CopyOnWriteArrayList<>();
+  private final ServerSocket server;
+  private final Script script;
+
+  ScriptedUpstream(Script script) throws IOException {
+    this.script = script;
+    server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
+    Thread t = new Thread(this::accept, "scripted-upstream");
+    t.setDaemon(true);
+    t.start();
+  }
+
+  static String answer(String id, int status, String headers, String content) {
+    return "HTTP/1.1 "
+        + status
+        + " X\r\nX-Id: "
+        + id
+        + "\r\n"
+        + headers
+        + "Content-Length: "
+        + content.length()
+        + "\r\n\r\n"
+        + content;
+  }
+
+  String address() {
+    return "127.0.0.1:" + server.getLocalPort();
+  }
+
+  private void accept() {
+    while (!server.isClosed()) {
+      try {
+        Socket socket = server.accept();
+        Thread t = new Thread(() -> serve(socket), "scripted-connection");
+        t.setDaemon(true);
+        t.start();
+      } catch (IOException e) {
+        return;
+      }
+    }
+  }
+
+  private void serve(Socket socket) {
+    try {
+      InputStream in = socket.getInputStream();
+      while (true) {
+        String head = readHead(in);
+        if (head.isEmpty()) {
+          closedByPeer.add(socket);
+          return;
+        }
+        Call headOnly = new Call(head, "", socket);
+        String length = headOnly.header("content-length");
+        byte[] body = in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
+        Call call = new Call(head, new String(body, ISO_8859_1), socket);
+        calls.add(call);
+        script.answer(call);
+      }
+    } catch (Exception e) {
+      closedByPeer.add(socket);
+    }
+  }
+
+  private static String readHead(InputStream in) throws IOException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream();
+    int b;
+    while ((b = in.read()) >= 0) {
+      out.write(b);
+      String text = out.toString(ISO_8859_1);
+      if (text.endsWith("\r\n\r\n")) {
+        return text;
+      }
+    }
+    return "";
+  }
+
+  @Override
+  public void close() throws IOException {
+    server.close();
+  }
+}
