Measure the demand for prepaid tokens without the bias of a filling window, and hold 10 s of it

The average over 8 s had seen 5 s, so routers held half of what the cut took. Excluded: the ledger, which held 90% of the totals then. The average is now divided by the part of its window that was measured, and a router holds 10 s.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
@@ -9,6 +9,9 @@
   /** Time constant of the measured demand. */
   private static final double DEMAND_WINDOW_MILLIS = 8_000;
 
+  /** A shorter measurement says too little of the demand to be extended over the window. */
+  private static final long MIN_MEASURED_MILLIS = 4_000;
+
   private long grantedTotal;
   private long returnedTotal;
   private long free;
@@ -16,6 +19,7 @@
   private long spent;
   private double demandPerMilli;
   private long demandAt;
+  private long demandSince = -1;
   private long ledgerAvailable = -1;
   private long ledgerAt;
 
@@ -49,14 +53,24 @@
 
   /** Counts a request's largest size as demand, whether it can be served or not. */
   public void demand(long tokens, long nowMillis) {
+    if (demandSince < 0) {
+      demandSince = nowMillis;
+      demandAt = nowMillis;
+    }
     decay(nowMillis);
     demandPerMilli += tokens / DEMAND_WINDOW_MILLIS;
   }
 
   /** Returns the tokens that the recent demand takes in a time. */
   public long expectedDemand(long millis, long nowMillis) {
+    if (demandSince < 0) {
+      return 0;
+    }
     decay(nowMillis);
-    return (long) (demandPerMilli * millis);
+    // Until the window is full the average is too low by the part of it that was not yet measured.
+    long measured = Math.max(MIN_MEASURED_MILLIS, nowMillis - demandSince);
+    double filled = 1 - Math.exp(-measured / DEMAND_WINDOW_MILLIS);
+    return (long) (demandPerMilli / filled * millis);
   }
 
   private void decay(long nowMillis) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -39,13 +39,13 @@
    * Demand for which tokens are held: a cut from the control daemons lasts about so long. What a
    * router holds is lost with it, so it is not more.
    */
-  private static final long HORIZON_MILLIS = 8_000;
+  private static final long HORIZON_MILLIS = 10_000;
 
   /** A router without demand holds its equal part of this part of a workspace's total. */
   private static final double IDLE_PART = 0.02;
 
   /** More than this part of the target is given back, less than that is asked for. */
-  private static final double RETURN_ABOVE = 1.5;
+  private static final double RETURN_ABOVE = 1.3;
 
   private static final double RENEW_BELOW = 0.75;
 
