Test a site's daemons on loopback, and close inbound peer connections with the transport

Cause: SiteTest stopped two of three control daemons, and the third still had a departure confirmed: a transport on a shared event loop closed its listener but not the connections that peers had opened. The transport now closes them too.

--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -74,7 +74,7 @@
 
   @Example
   void safeRequestIsRepeatedAtAnotherUpstream() throws Exception {
-    ScriptedUpstream bad = fixture.upstream("u1", ScriptedUpstream.Call::reset);
+    final ScriptedUpstream bad = fixture.upstream("u1", ScriptedUpstream.Call::reset);
     assertThat(fixture.call("GET", "/safe/a", "", "")).startsWith("HTTP/1.1 502 ");
     fixture.upstream("u2", c -> c.reply(200, SIGNED, "ok"));
     for (int i = 0; i < 5; i++) {
@@ -129,7 +129,7 @@
   }
 
   @Example
-  void truncatedAnswerIsAFailure() throws Exception {
+  void truncatedAnswerIsFailure() throws Exception {
     fixture.upstream(
         "u1",
         c -> {
@@ -153,7 +153,7 @@
   }
 
   @Example
-  void answerWithoutLengthThatIsResetIsAFailure() throws Exception {
+  void resetEndsAnswerWithoutLengthAsFailure() throws Exception {
     fixture.upstream(
         "u1",
         c -> {
@@ -293,7 +293,7 @@
   }
 
   @Example
-  void secondRequestOnAConnectionWaitsForTheFirstAnswer() throws Exception {
+  void secondRequestOnSameConnectionWaitsForTheFirstAnswer() throws Exception {
     fixture.upstream("u1", c -> c.reply(200, SIGNED, c.head().contains("/one") ? "1st" : "2nd"));
     try (Socket socket = fixture.connect()) {
       String head = " HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\nAuthorization: Token k\r\n";
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -0,0 +1,204 @@
+package org.goldcrestfall.daemon.site;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+
+import com.google.common.collect.ImmutableList;
+import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalInt;
+import java.util.OptionalLong;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.gateway.ClientLimits;
+import org.goldcrestfall.core.gateway.GatewayConfiguration;
+import org.goldcrestfall.core.gateway.InvalidConfigurationException;
+import org.goldcrestfall.core.gateway.WorkspaceSettings;
+import org.goldcrestfall.core.registry.UpstreamEntry;
+import org.goldcrestfall.daemon.control.ControlGroup;
+import org.goldcrestfall.daemon.control.ControlSettings;
+import org.goldcrestfall.daemon.storage.FolderDisk;
+import org.goldcrestfall.wire.NettyPeerTransport;
+import org.goldcrestfall.wire.PeerSettings;
+import org.goldcrestfall.wire.TransportListener;
+import org.goldcrestfall.wire.generated.DaemonEntry;
+
+/** Control daemons and routers of one site in this process, over loopback and real folders. */
+final class SiteFixture implements AutoCloseable {
+
+  private static final int LIMIT_SECONDS = 20;
+
+  /** A control daemon. */
+  record Control(String host, NettyPeerTransport transport, ControlGroup group, SiteControl site) {}
+
+  /** A router with the versions of the configurations that it took, in order. */
+  record Router(
+      NettyPeerTransport transport,
+      SiteClient site,
+      PrepaidTokens tokens,
+      List<Long> versions,
+      Map<String, UpstreamEntry> upstreams) {}
+
+  /** The document is a version, a workspace and its prepaid tokens, separated by spaces. */
+  static final ConfigurationDecoder DECODER =
+      document -> {
+        String[] f = new String(document, UTF_8).split(" ");
+        if (f.length != 3) {
+          throw new InvalidConfigurationException("not three fields");
+        }
+        var workspace =
+            new WorkspaceSettings(
+                f[1],
+                ImmutableList.of(),
+                OptionalInt.empty(),
+                OptionalLong.of(Long.parseLong(f[2])));
+        return new GatewayConfiguration(
+            Long.parseLong(f[0]), List.of(), Map.of(), ClientLimits.DEFAULT, List.of(workspace));
+      };
+
+  final Map<String, Control> controls = new LinkedHashMap<>();
+  private final Path folder = Files.createTempDirectory("site");
+  private final List<Integer> ports = new ArrayList<>();
+  private final EventLoopGroup group =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = (EventLoop) group.next();
+  private final MillisClock clock = MillisClock.monotonic();
+  private int routers;
+
+  SiteFixture(int count) throws Exception {
+    for (int i = 0; i < count; i++) {
+      try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+        ports.add(s.getLocalPort());
+      }
+    }
+    for (int i = 0; i < count; i++) {
+      start(i, true);
+    }
+  }
+
+  List<String> addresses() {
+    return ports.stream().map(p -> "127.0.0.1:" + p).toList();
+  }
+
+  Control start(int i, boolean first) throws Exception {
+    String host = "c" + i;
+    String address = addresses().get(i);
+    NettyPeerTransport transport =
+        new NettyPeerTransport(settings(host, ports.get(i)), TransportListener.NONE, group);
+    SiteStateMachine machine = new SiteStateMachine();
+    ControlGroup members =
+        ControlGroup.open(
+            ControlSettings.selfForming(
+                host, address, first ? addresses() : List.of(), this::addresses, 0),
+            new FolderDisk(folder.resolve(host)),
+            machine,
+            transport,
+            clock,
+            i);
+    SiteControl site =
+        new SiteControl(
+            DaemonEntry.newBuilder().setHost(host).setAddress(address).setZone("z" + i).build(),
+            members,
+            machine,
+            DECODER,
+            transport,
+            loop,
+            clock);
+    site.start();
+    Control control = new Control(host, transport, members, site);
+    controls.put(host, control);
+    return control;
+  }
+
+  void stop(String host) {
+    Control c = controls.remove(host);
+    c.transport().close();
+    c.group().close();
+  }
+
+  Router router(Supplier<List<String>> seeds) throws Exception {
+    String host = "r" + ++routers;
+    NettyPeerTransport transport =
+        new NettyPeerTransport(settings(host, 0), TransportListener.NONE, group);
+    List<Long> versions = new CopyOnWriteArrayList<>();
+    Map<String, UpstreamEntry> upstreams = new java.util.concurrent.ConcurrentHashMap<>();
+    PrepaidTokens[] tokens = new PrepaidTokens[1];
+    SiteListener listener =
+        new SiteListener() {
+          @Override
+          public void configurationChanged(GatewayConfiguration c) {
+            versions.add(c.version());
+            tokens[0].configure(c);
+          }
+
+          @Override
+          public void upstreamChanged(UpstreamEntry entry) {
+            upstreams.put(entry.id(), entry);
+          }
+        };
+    DaemonEntry self =
+        DaemonEntry.newBuilder()
+            .setHost(host)
+            .setAddress(transport.address())
+            .setZone("z0")
+            .build();
+    SiteClient site = new SiteClient(self, seeds, transport, DECODER, loop, clock, listener);
+    tokens[0] = new PrepaidTokens(host + "#1", site, transport, loop, clock);
+    tokens[0].start();
+    site.start();
+    return new Router(transport, site, tokens[0], versions, upstreams);
+  }
+
+  private static PeerSettings settings(String host, int port) {
+    return new PeerSettings(host, "127.0.0.1", port, "test", new byte[16]);
+  }
+
+  /** Runs a call on the event loop and waits for its outcome. */
+  <T> T call(Supplier<CompletableFuture<T>> call) throws Exception {
+    return CompletableFuture.supplyAsync(call, loop)
+        .thenCompose(f -> f)
+        .get(LIMIT_SECONDS, TimeUnit.SECONDS);
+  }
+
+  /** Puts a configuration, again until it is acknowledged. */
+  void put(String host, String document) throws Exception {
+    await(
+        () -> {
+          try {
+            call(() -> controls.get(host).site().replaceConfiguration(document.getBytes(UTF_8)));
+            return true;
+          } catch (Exception e) {
+            return false;
+          }
+        });
+  }
+
+  static void await(BooleanSupplier condition) throws InterruptedException {
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("the condition did not hold in " + LIMIT_SECONDS + " s");
+      }
+      Thread.sleep(10);
+    }
+  }
+
+  @Override
+  public void close() {
+    List.copyOf(controls.keySet()).forEach(this::stop);
+    group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+  }
+}
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
@@ -0,0 +1,119 @@
+package org.goldcrestfall.daemon.site;
+
+import static java.nio.charset.StandardCharsets.UTF_8;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import org.goldcrestfall.core.registry.UpstreamEntry;
+import org.goldcrestfall.core.registry.UpstreamState;
+import org.goldcrestfall.daemon.site.PrepaidTokens.Outcome;
+import org.goldcrestfall.daemon.site.SiteFixture.Router;
+
+/** Runs control daemons and routers; guards against old configurations and lost departures. */
+class SiteTest {
+
+  private SiteFixture site;
+
+  private SiteFixture open(int controls) throws Exception {
+    site = new SiteFixture(controls);
+    return site;
+  }
+
+  @AfterTry
+  void close() {
+    if (site != null) {
+      site.close();
+    }
+  }
+
+  private static UpstreamEntry upstream(UpstreamState state, long sequence) {
+    return new UpstreamEntry("u", "s", "10.0.0.9:80", "z0", state, 4, 1, sequence, 0);
+  }
+
+  @Example
+  void configurationReachesRoutersAndReadsBackUnchanged() throws Exception {
+    open(3);
+    final Router router = site.router(site::addresses);
+    site.put("c0", "1 w 1000");
+    site.put("c1", "5 w 2000");
+    site.put("c2", "3 w 9000");
+    SiteFixture.await(() -> router.versions().contains(5L));
+    assertThat(router.versions()).isSorted().doesNotContain(3L);
+    byte[] read = site.call(() -> site.controls.get("c2").site().readConfiguration());
+    assertThat(new String(read, UTF_8)).isEqualTo("5 w 2000");
+  }
+
+  @Example
+  void invalidConfigurationIsRefusedAndChangesNothing() throws Exception {
+    open(1);
+    site.put("c0", "1 w 1000");
+    assertThatThrownBy(
+            () ->
+                site.call(
+                    () -> site.controls.get("c0").site().replaceConfiguration(new byte[] {'x'})))
+        .hasMessageContaining("not three fields");
+    byte[] read = site.call(() -> site.controls.get("c0").site().readConfiguration());
+    assertThat(new String(read, UTF_8)).isEqualTo("1 w 1000");
+  }
+
+  /** A control daemon that replays its log passes through all earlier configurations. */
+  @Example
+  void restartedControlDaemonGivesOutNoEarlierConfiguration() throws Exception {
+    open(1);
+    for (int version = 1; version <= 30; version++) {
+      site.put("c0", version + " w 1000");
+    }
+    site.stop("c0");
+    site.start(0, false);
+    Router router = site.router(site::addresses);
+    SiteFixture.await(() -> !router.versions().isEmpty());
+    assertThat(router.versions()).containsExactly(30L);
+  }
+
+  @Example
+  void departureIsAcknowledgedOnlyIfAnotherControlDaemonHasIt() throws Exception {
+    open(3);
+    site.put("c0", "1 w 1000");
+    Router router = site.router(() -> site.addresses().subList(1, 2));
+    assertThat(
+            site.call(
+                () -> site.controls.get("c0").site().announce(upstream(UpstreamState.READY, 1))))
+        .isTrue();
+    SiteFixture.await(() -> router.upstreams().containsKey("u"));
+    assertThat(
+            site.call(
+                () -> site.controls.get("c0").site().announce(upstream(UpstreamState.DRAINING, 2))))
+        .isTrue();
+    SiteFixture.await(() -> router.upstreams().get("u").state() == UpstreamState.DRAINING);
+    site.stop("c1");
+    site.stop("c2");
+    assertThat(site.call(() -> site.controls.get("c0").site().depart("u", 1))).isFalse();
+  }
+
+  @Example
+  void routerThatIsCutOffBorrowsFromAnotherOne() throws Exception {
+    open(1);
+    site.put("c0", "1 w 1000000");
+    Router rich = site.router(site::addresses);
+    Router poor = site.router(site::addresses);
+    SiteFixture.await(() -> poor.site().routerCount() == 2 && rich.site().routerCount() == 2);
+    assertThat(site.call(() -> rich.tokens().reserve("w", 20_000))).isEqualTo(Outcome.RESERVED);
+    Thread.sleep(600);
+    site.stop("c0");
+    assertThat(site.call(() -> poor.tokens().reserve("w", 15_000))).isEqualTo(Outcome.RESERVED);
+    assertThat(site.call(() -> poor.tokens().reserve("w", 500_000))).isEqualTo(Outcome.UNAVAILABLE);
+  }
+
+  @Example
+  void requestBeyondTheWholeBudgetIsExhaustedAndNotUnavailable() throws Exception {
+    open(1);
+    site.put("c0", "1 w 1000");
+    Router router = site.router(site::addresses);
+    SiteFixture.await(() -> router.versions().equals(List.of(1L)));
+    assertThat(site.call(() -> router.tokens().reserve("w", 5_000))).isEqualTo(Outcome.EXHAUSTED);
+    assertThat(site.call(() -> router.tokens().reserve("w", 900))).isEqualTo(Outcome.RESERVED);
+  }
+}
--- a/wire/src/main/java/org/goldcrestfall/wire/NettyPeerTransport.java
+++ b/wire/src/main/java/org/goldcrestfall/wire/NettyPeerTransport.java
@@ -11,10 +11,13 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.group.ChannelGroup;
+import io.netty.channel.group.DefaultChannelGroup;
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.timeout.IdleStateHandler;
+import io.netty.util.concurrent.GlobalEventExecutor;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.net.InetSocketAddress;
@@ -49,6 +52,7 @@
   private final boolean ownsGroup;
   private final Map<String, OutboundConnection> connections = new ConcurrentHashMap<>();
   private final Map<Body.KindCase, Handler> handlers = new ConcurrentHashMap<>();
+  private final ChannelGroup inbound = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
   private final Channel server;
   private volatile long boot;
   private volatile boolean closed;
@@ -187,6 +191,7 @@
   }
 
   private void initializeInbound(Channel c) {
+    inbound.add(c);
     FrameCodec codec = new FrameCodec(listener);
     var handshake =
         new HandshakeHandler(
@@ -210,6 +215,7 @@
   public void close() {
     closed = true;
     server.close().awaitUninterruptibly();
+    inbound.close();
     for (OutboundConnection c : connections.values()) {
       try {
         c.loop().execute(c::close);
