Move the hold on replayed configurations into a class with a test of its own

Cause: SiteTest passes with the hold taken out, because a replay of 600 entries ends before a router connects. The decision is now core.site.ReplayGate, whose test fails without it.

--- a/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
@@ -27,6 +27,21 @@
     assertThat(state.configuration().index()).isEqualTo(4);
   }
 
+  /** Seen on a day: a router took configuration 17 and 40 ms later 70 from a replaying member. */
+  @Example
+  void replayedConfigurationsAreHeldBackUntilTheNewestIsReached() {
+    SiteState state = new SiteState();
+    ReplayGate gate = new ReplayGate();
+    state.apply(1, put(1, 100));
+    assertThat(gate.pass(state.configuration()).index()).isZero();
+    gate.confirm(3);
+    assertThat(gate.pass(state.configuration()).index()).isZero();
+    state.apply(3, put(2, 100));
+    assertThat(gate.pass(state.configuration()).version()).isEqualTo(2);
+    state.apply(4, put(3, 100));
+    assertThat(gate.pass(state.configuration()).version()).isEqualTo(3);
+  }
+
   @Example
   void restoredStateKnowsWhatWasGranted() {
     SiteState state = new SiteState();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
@@ -22,6 +22,7 @@
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamRegistry;
 import org.goldcrestfall.core.registry.UpstreamState;
+import org.goldcrestfall.core.site.ReplayGate;
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteState;
 import org.goldcrestfall.daemon.control.ControlClient;
@@ -81,15 +82,13 @@
   private final MillisClock clock;
   private final UpstreamRegistry registry = new UpstreamRegistry();
   private final long registryEpoch = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+  private final ReplayGate replayGate = new ReplayGate();
   private final List<PendingWatch> watches = new ArrayList<>();
   private final Map<String, Heard> controls = new HashMap<>();
   private final Map<String, Heard> routers = new HashMap<>();
   private final Map<String, Heard> ownRouters = new HashMap<>();
   private boolean copied;
 
-  /** The configuration that was in force at some time after the start; -1 until it is known. */
-  private long indexAfterStart = -1;
-
   /** Creates the part; {@link #start} makes it take calls. */
   public SiteControl(
       DaemonEntry self,
@@ -330,7 +329,7 @@
         .whenCompleteAsync(
             (index, failure) -> {
               if (failure == null) {
-                indexAfterStart = Longs.fromByteArray(index);
+                replayGate.confirm(Longs.fromByteArray(index));
                 answerWatches();
               } else {
                 loop.schedule(this::catchUp, CATCH_UP_MILLIS, TimeUnit.MILLISECONDS);
@@ -341,9 +340,7 @@
 
   /** Returns the configuration that may be given out, which is none while the log is replayed. */
   private SiteState.StoredConfiguration currentConfiguration() {
-    SiteState.StoredConfiguration c = machine.configuration();
-    boolean replayed = indexAfterStart >= 0 && c.index() >= indexAfterStart;
-    return replayed ? c : SiteState.StoredConfiguration.NONE;
+    return replayGate.pass(machine.configuration());
   }
 
   private boolean hasNews(SiteWatch watch) {
