--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
@@ -38,13 +38,13 @@
   }
 
   /** Returns the granted tokens that are not open. */
-  public long reserve() {
+  public long unopened() {
     return grantedTotal - returnedTotal - (openedTotal - openReturnedTotal);
   }
 
   /** Opens the whole reserve without the ledger. */
   public void openReserve() {
-    long reserve = Math.max(0, reserve());
+    long reserve = Math.max(0, unopened());
     openedTotal += reserve;
     free += reserve;
   }
@@ -114,7 +114,7 @@
 
   /** Returns tokens to the ledger by raising the sums of returns, from the reserve first. */
   public void giveBack(long tokens) {
-    long closed = Math.max(0, Math.min(tokens, reserve()));
+    long closed = Math.max(0, Math.min(tokens, unopened()));
     returnedTotal += closed;
     giveBackOpen(tokens - closed);
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -368,9 +368,9 @@
         // After a cut all is open; what is not needed open comes back as reserve.
         account.giveBackOpen(account.free() - openTarget);
       }
-      long held = account.free() + account.reserve();
+      long held = account.free() + account.unopened();
       if (workspace.equals(waiting)) {
-        long missing = Math.max(0, needed - account.reserve());
+        long missing = Math.max(0, needed - account.unopened());
         long wanted = Math.max(missing, target - held);
         long toOpen = Math.max(needed, openTarget - account.free());
         out.add(account.demandFor(workspace, wanted, missing, toOpen));
@@ -383,7 +383,7 @@
       }
       long wanted = held < RENEW_BELOW * target ? target - held : 0;
       long toOpen = account.free() < RENEW_BELOW * openTarget ? openTarget - account.free() : 0;
-      if (wanted > 0 || toOpen > 0 && account.reserve() > 0) {
+      if (wanted > 0 || toOpen > 0 && account.unopened() > 0) {
         out.add(account.demandFor(workspace, wanted, 0, toOpen));
       }
     }
@@ -441,7 +441,7 @@
     List<PrepaidLedger.Demand> demands = new ArrayList<>();
     accounts.forEach(
         (workspace, account) -> {
-          account.giveBack(account.free() + account.reserve());
+          account.giveBack(account.free() + account.unopened());
           demands.add(account.demandFor(workspace, 0, 0, 0));
         });
     return client
