Let routers hold no more prepaid tokens than the ledger keeps

The ledger was empty and 1,164 answers were 402: the routers had held 10 s of demand, which was more than was left, and lost it all. Excluded: the restart itself (routers served from 36 s on) and the plain services. Beyond what a waiting request needs, the ledger now grants only while it keeps at least as much as all routers hold unused, so after a loss of everything half of the rest is still there.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
@@ -52,7 +52,14 @@
   /** Returns what to tell the ledger, with what is asked for. */
   public PrepaidLedger.Demand demandFor(String workspace, long wanted, long needed, long toOpen) {
     return new PrepaidLedger.Demand(
-        workspace, returnedTotal, openReturnedTotal, openedTotal, wanted, needed, toOpen);
+        workspace,
+        returnedTotal,
+        openReturnedTotal,
+        openedTotal,
+        wanted,
+        needed,
+        toOpen,
+        free + unopened());
   }
 
   /** Reserves tokens if they are free. */
--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
@@ -28,6 +28,7 @@
    * @param wanted the tokens that it would like to hold in addition
    * @param needed the part of them that a waiting request needs, granted also from a scarce rest
    * @param toOpen held tokens to be opened now
+   * @param held tokens that no request uses, open or not
    */
   public record Demand(
       String workspace,
@@ -36,7 +37,8 @@
       long openedTotal,
       long wanted,
       long needed,
-      long toOpen) {}
+      long toOpen,
+      long held) {}
 
   /** The answer: the sums of all grants and openings so far, and what no router holds. */
   public record Allotment(String workspace, long grantedTotal, long openedTotal, long available) {}
@@ -47,7 +49,8 @@
       long grantedTotal,
       long returnedTotal,
       long openedTotal,
-      long openReturnedTotal) {}
+      long openReturnedTotal,
+      long held) {}
 
   /**
    * All sums of one incarnation; {@code number} is that of its last request, {@code closed} tells
@@ -62,6 +65,9 @@
     long opened;
     long openReturned;
 
+    /** Unused tokens as last told, with what was granted since. */
+    long held;
+
     long reserve() {
       return granted - returned - (opened - openReturned);
     }
@@ -122,19 +128,32 @@
     outstanding.merge(d.workspace(), -returned, Long::sum);
     h.opened = Math.max(h.opened, d.openedTotal());
     h.openReturned = Math.max(h.openReturned, d.openReturnedTotal());
+    h.held = d.held();
   }
 
   private void grant(Holding h, Demand d) {
     long available = available(d.workspace());
     if (d.wanted() > 0 && available > 0) {
-      long part = Math.max(available / SCARCE_PARTS, Math.min(d.needed(), available));
-      long granted = Math.min(d.wanted(), part);
+      // Routers together hold no more than the ledger keeps, since all of it is lost with them.
+      long spare = Math.max(0, (available - held(d.workspace())) / 2);
+      long part = Math.min(spare, available / SCARCE_PARTS);
+      long granted = Math.min(d.wanted(), Math.max(part, Math.min(d.needed(), available)));
       h.granted += granted;
+      h.held += granted;
       outstanding.merge(d.workspace(), granted, Long::sum);
     }
     h.opened += Math.max(0, Math.min(d.toOpen(), h.reserve()));
   }
 
+  private long held(String workspace) {
+    long sum = 0;
+    for (Account a : routers.values()) {
+      Holding h = a.closed ? null : a.holdings.get(workspace);
+      sum += h == null ? 0 : h.held;
+    }
+    return sum;
+  }
+
   /** Ends the earlier incarnations on a host, and takes their reserves where that is proved. */
   private void closeEarlier(RouterLife life) {
     for (Account a : routers.values()) {
@@ -173,7 +192,8 @@
         (router, a) -> {
           List<Sums> sums = new ArrayList<>();
           a.holdings.forEach(
-              (w, h) -> sums.add(new Sums(w, h.granted, h.returned, h.opened, h.openReturned)));
+              (w, h) ->
+                  sums.add(new Sums(w, h.granted, h.returned, h.opened, h.openReturned, h.held)));
           out.add(new RouterSums(router, a.number, a.life, a.closed, sums));
         });
     return out;
@@ -194,6 +214,7 @@
         h.returned = s.returnedTotal();
         h.opened = s.openedTotal();
         h.openReturned = s.openReturnedTotal();
+        h.held = s.held();
         account.holdings.put(s.workspace(), h);
         outstanding.merge(s.workspace(), h.granted - h.returned, Long::sum);
       }
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
@@ -163,7 +163,7 @@
   }
 
   private static PrepaidLedger.Demand demand(long wanted, long needed, long toOpen) {
-    return new PrepaidLedger.Demand(W, 0, 0, 0, wanted, needed, toOpen);
+    return new PrepaidLedger.Demand(W, 0, 0, 0, wanted, needed, toOpen, 0);
   }
 
   private static PrepaidLedger.Allotment renew(
@@ -207,6 +207,20 @@
     assertThat(other.available(W)).isEqualTo(8_000);
   }
 
+  /** After a loss of power everywhere, half of what was left is still there. */
+  @Example
+  void routersTogetherHoldNoMoreThanTheLedgerKeeps() {
+    PrepaidLedger ledger = ledgerOf(10_000);
+    long held = 0;
+    for (int i = 0; i < 50; i++) {
+      held += renew(ledger, "r" + i, 1, demand(3_000, 0, 0)).grantedTotal();
+    }
+    assertThat(held).isLessThanOrEqualTo(ledger.available(W)).isGreaterThan(4_000);
+    long before = ledger.available(W);
+    assertThat(renew(ledger, "q", 1, demand(2_000, 2_000, 0)).grantedTotal()).isEqualTo(2_000);
+    assertThat(ledger.available(W)).isEqualTo(before - 2_000);
+  }
+
   @Example
   void scarceRestIsNotTakenByOneRouter() {
     PrepaidLedger ledger = new PrepaidLedger();
--- a/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
@@ -49,7 +49,7 @@
   void restoredStateKnowsWhatWasGranted() {
     SiteState state = new SiteState();
     state.apply(1, put(1, 100));
-    var demand = List.of(new PrepaidLedger.Demand("w", 0, 0, 0, 20, 0, 0));
+    var demand = List.of(new PrepaidLedger.Demand("w", 0, 0, 0, 20, 0, 0, 0));
     state.apply(2, new SiteCommand.RenewAllotments("r", 1, LIFE, demand));
     SiteState restored = new SiteState();
     restored.restore(state.configuration(), state.allotments());
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -52,7 +52,8 @@
                 .setNeeded(d.needed())
                 .setOpenReturnedTotal(d.openReturnedTotal())
                 .setOpenedTotal(d.openedTotal())
-                .setToOpen(d.toOpen()));
+                .setToOpen(d.toOpen())
+                .setHeld(d.held()));
       }
       out.setRenew(renew);
     }
@@ -78,7 +79,8 @@
                   d.getOpenedTotal(),
                   d.getWanted(),
                   d.getNeeded(),
-                  d.getToOpen()));
+                  d.getToOpen(),
+                  d.getHeld()));
         }
         return new SiteCommand.RenewAllotments(
             in.getRenew().getRouter(),
@@ -136,7 +138,8 @@
                 .setGrantedTotal(s.grantedTotal())
                 .setReturnedTotal(s.returnedTotal())
                 .setOpenedTotal(s.openedTotal())
-                .setOpenReturnedTotal(s.openReturnedTotal()));
+                .setOpenReturnedTotal(s.openReturnedTotal())
+                .setHeld(s.held()));
       }
       out.addRouters(router);
     }
@@ -155,7 +158,8 @@
                 s.getGrantedTotal(),
                 s.getReturnedTotal(),
                 s.getOpenedTotal(),
-                s.getOpenReturnedTotal()));
+                s.getOpenReturnedTotal(),
+                s.getHeld()));
       }
       routers.add(
           new PrepaidLedger.RouterSums(
