Do not begin a call at a control member that did not answer the last one

The leader was frozen from 2.0 s to 9.9 s; another one led from 3.86 s with four of five members, yet every read, change and renewal failed until the first one woke. Each call began at the last leader, which accepts connections and never answers, and spent its whole 900 ms there. Excluded: the election, which took 1.9 s, and replication. A failed attempt now moves the client on, an attempt takes 400 ms, and a control daemon asks the leader that its own member knows. ControlClientTest failed before and passes after.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlClient.java
@@ -23,7 +23,9 @@
  */
 public final class ControlClient {
 
-  private static final long ATTEMPT_MILLIS = 1_000;
+  /** Several times a commit within a region; callers wait about a second for all attempts. */
+  private static final long ATTEMPT_MILLIS = 400;
+
   private static final long PAUSE_MILLIS = 50;
 
   private final Supplier<List<String>> addresses;
@@ -97,10 +99,16 @@
     }
 
     CompletableFuture<byte[]> start() {
-      attempt(leader);
+      attempt(firstAddress());
       return result;
     }
 
+    /** Returns the leader as the member in this process knows it, or as the last call found it. */
+    private String firstAddress() {
+      String known = local == null ? "" : local.status().leaderAddress();
+      return known.isEmpty() ? leader : known;
+    }
+
     private void attempt(String address) {
       long rest = deadline - clock.nowMillis();
       if (rest <= 0) {
@@ -135,7 +143,9 @@
       if (failure != null) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         unknown |= !(cause instanceof ConnectException);
-        later(nextAddress(address));
+        // A leader that is suspended answers nobody, so the next call must not begin there again.
+        leader = nextAddress(address);
+        later(leader);
         return;
       }
       switch (reply.getStatus()) {
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/ControlClientTest.java
@@ -0,0 +1,38 @@
+package org.goldcrestfall.daemon.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import net.jqwik.api.Example;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.wire.generated.Body;
+import org.goldcrestfall.wire.generated.Body.KindCase;
+
+/** Guards against calls that wait for a member which accepts them and never answers. */
+class ControlClientTest {
+
+  private static final long SHORT_MILLIS = 300;
+
+  /** Seen on a day: a suspended leader stopped all commits for 6 s, though another one led. */
+  @Example
+  void nextCallDoesNotBeginAtMemberThatDidNotAnswer() throws Exception {
+    FakeNetwork network = new FakeNetwork();
+    network
+        .connect("a", "a:1")
+        .handle(KindCase.CONTROL_CALL, (sender, body) -> new CompletableFuture<>());
+    Body done = Body.newBuilder().setControlResult(ControlHandlers.succeed(new byte[] {7})).build();
+    network
+        .connect("b", "b:1")
+        .handle(KindCase.CONTROL_CALL, (s, body) -> CompletableFuture.completedFuture(done));
+    ControlClient client =
+        new ControlClient(
+            List.of("a:1", "b:1"), network.connect("c", "c:1"), MillisClock.monotonic(), null);
+    assertThatThrownBy(() -> client.submit(new byte[0], SHORT_MILLIS).get(20, TimeUnit.SECONDS))
+        .hasCauseInstanceOf(UnknownOutcomeException.class);
+    assertThat(client.submit(new byte[0], SHORT_MILLIS).get(20, TimeUnit.SECONDS))
+        .containsExactly(7);
+  }
+}
