Remove what nothing reads, and keep the prefill rate in one place

TokenLoan.left was sent and read by nobody; wrongAddress guarded what remove does anyway. No change of behaviour.

--- a/core/src/main/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoice.java
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoice.java
@@ -12,9 +12,6 @@
  */
 public final class ExpectedWaitChoice implements UpstreamChoice {
 
-  /** Prompt tokens that an engine reads in a millisecond; engines do not announce their rate. */
-  static final double PREFILL_TOKENS_PER_MILLI = 60;
-
   /** How much one running request delays the tokens of another, in milliseconds. */
   private static final double MILLIS_PER_RUNNING = 0.4;
 
@@ -114,7 +111,7 @@
         uncached = Math.min(uncached, own + (1 - confidence) * uncached);
       }
       double tokens = c.promptBacklog() + READING_WEIGHT * uncached;
-      wait = tokens / PREFILL_TOKENS_PER_MILLI + MILLIS_PER_RUNNING * load;
+      wait = tokens / UpstreamLoad.PREFILL_TOKENS_PER_MILLI + MILLIS_PER_RUNNING * load;
       wait += Math.max(0, load + 1 - slots) * SLOT_WAIT_MILLIS;
     }
     wait *= c.slowness(nowMillis);
--- a/core/src/main/java/org/goldcrestfall/core/dispatch/UpstreamLoad.java
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/UpstreamLoad.java
@@ -9,6 +9,15 @@
  */
 public final class UpstreamLoad {
 
+  /** Prompt tokens that an engine reads in a millisecond; engines do not announce their rate. */
+  static final double PREFILL_TOKENS_PER_MILLI = 60;
+
+  /** A plain service that is not slow answers within this time. */
+  private static final double PLAIN_EXPECTED_MILLIS = 100;
+
+  /** Fixed part of the expected time to the first event of a stream. */
+  private static final double STREAM_EXPECTED_MILLIS = 40;
+
   /** A reported load is used so long. */
   private static final long REPORT_MILLIS = 400;
 
@@ -151,6 +160,15 @@
     return Math.max(0, workload.promptTokens() - cached);
   }
 
+  /** Returns when the first part of an answer is expected, in milliseconds from the send. */
+  public double expectedFirstByteMillis(Workload workload) {
+    if (workload.promptTokens() == 0) {
+      return PLAIN_EXPECTED_MILLIS;
+    }
+    long tokens = uncachedTokens(workload) + promptBacklog();
+    return STREAM_EXPECTED_MILLIS + tokens / PREFILL_TOKENS_PER_MILLI;
+  }
+
   /** Returns whether the upstream is not expected to answer at present. */
   public boolean isPaused(long nowMillis) {
     return nowMillis < pausedUntil || isSilent(nowMillis);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
@@ -12,10 +12,8 @@
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
 import java.util.function.Consumer;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.registry.UpstreamEntry;
@@ -33,7 +31,6 @@
   private final GatewayDialect dialect;
   private final Map<String, Upstream> upstreams = new HashMap<>();
   private final Map<String, Map<String, Upstream>> byService = new HashMap<>();
-  private final Set<String> wrongAddress = new HashSet<>();
 
   UpstreamConnections(EventLoop loop, MillisClock clock, GatewayDialect dialect) {
     this.loop = loop;
@@ -61,7 +58,6 @@
     } else {
       remove(entry.id());
       known = new Upstream(entry, now());
-      wrongAddress.remove(entry.id());
     }
     logger.atInfo().log(
         "upstream: %s of %s at %s is %s",
@@ -78,9 +74,7 @@
   void markWrongAddress(Upstream upstream) {
     logger.atInfo().log(
         "upstream: %s is no longer at %s", upstream.entry().id(), upstream.entry().address());
-    if (wrongAddress.add(upstream.entry().id())) {
-      remove(upstream.entry().id());
-    }
+    remove(upstream.entry().id());
   }
 
   private void remove(String id) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -319,10 +319,7 @@
           "prepaid: lent %s tokens of workspace %s to %s",
           given, request.getWorkspace(), sender.host());
     }
-    long left = account == null ? 0 : account.free();
-    return Body.newBuilder()
-        .setTokenLoan(TokenLoan.newBuilder().setTokens(given).setLeft(left))
-        .build();
+    return Body.newBuilder().setTokenLoan(TokenLoan.newBuilder().setTokens(given)).build();
   }
 
   // ---------------------------------------------------------------- ledger
