Split a send and the caller's answer from Exchange, and tell failures more truly

Two faults showed on reading. The head of a stream was written before its first event, so that a stream which failed before was broken off where a 502 would have told the caller more. And a request that two upstreams had rejected was answered 502, which promises nothing, though neither had run it.

Attempt is one send, CallerAnswer what the caller receives; the head of a stream waits for the first whole event, and each send that may have run is counted.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -1,19 +1,10 @@
 package org.goldcrestfall.daemon.gateway;
 
-import com.google.common.base.Splitter;
 import com.google.common.flogger.FluentLogger;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpResponse;
-import io.netty.handler.codec.http.DefaultHttpContent;
-import io.netty.handler.codec.http.DefaultHttpResponse;
-import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
-import io.netty.handler.codec.http.HttpUtil;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.HashSet;
@@ -35,15 +26,11 @@
 
 /**
  * One request from its last byte to the end of its answer: checks, prepaid tokens, sends to one
- * upstream after another, and the way of the answer to the caller. Confined to the event loop.
+ * upstream after another, and what follows from how each of them ended. Confined to the event loop.
  */
-final class Exchange {
+final class Exchange implements Attempt.Listener {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final Splitter COMMA = Splitter.on(',').trimResults().omitEmptyStrings();
-
-  /** Answers that are not streams are collected up to this size before they are passed on. */
-  private static final int MAX_COLLECTED_BYTES = 262_144;
 
   /** Upstreams that could not be reached before a request is refused. */
   private static final int MAX_CONNECT_FAILURES = 3;
@@ -60,15 +47,10 @@
   /** When a caller should come back for whose request no prepaid tokens were at hand. */
   private static final long TOKENS_RETRY_MILLIS = 2_000;
 
-  /** A head within this time is expected of a plain service. */
-  private static final double PLAIN_EXPECTED_MILLIS = 100;
-
-  /** Fixed part of the expected time to the first event of a stream. */
-  private static final double STREAM_EXPECTED_MILLIS = 40;
-
   private final Gateway gateway;
   private final ClientConnection client;
   private final CallerRequest request;
+  private final CallerAnswer answer;
   private final long startedAt;
   private final String id;
   private final Set<String> tried = new HashSet<>();
@@ -82,19 +64,17 @@
   private int attempts;
   private int connectFailures;
   private Attempt current;
-  private boolean mayHaveRun;
-  private boolean headWritten;
+  private int sendsThatMayHaveRun;
   private boolean done;
   private final long readAt;
   private long tokensAt = -1;
-  private long firstByteAt = -1;
-  private EventScanner scanner;
 
   Exchange(Gateway gateway, ClientConnection client, CallerRequest request, long startedAt) {
     this.gateway = gateway;
     this.client = client;
     this.request = request;
     this.startedAt = startedAt;
+    answer = new CallerAnswer(gateway, client, request);
     readAt = gateway.now();
     id = request.id();
   }
@@ -201,9 +181,9 @@
   }
 
   private void noUpstream() {
-    if (headWritten) {
+    if (answer.isBegun()) {
       breakOff("no upstream is left to resume");
-    } else if (mayHaveRun) {
+    } else if (mayHaveRun()) {
       fail(ErrorKind.UPSTREAM_FAILED, "The upstream failed.");
     } else {
       refuse(ErrorKind.NO_UPSTREAM, "No upstream of the service can be reached.", retryAfter());
@@ -236,9 +216,11 @@
       gateway.allowance(service).onFirst(now);
     }
     attempts++;
-    mayHaveRun = true;
+    sendsThatMayHaveRun++;
     tried.add(upstream.entry().id());
-    current = new Attempt(upstream, connection, now);
+    boolean streaming = route.kind() == RouteKind.STREAMING;
+    current =
+        new Attempt(gateway, connection, workload, answer, streaming, route.resumable(), this);
     connection.send(upstreamRequest(upstream, now), id == null ? "" : id, current);
   }
 
@@ -254,8 +236,8 @@
     if (serviceSettings.flatMap(ServiceSettings::engine).isPresent()) {
       out.headers().set(dialect.engineRank(), rank());
     }
-    if (scanner != null && !scanner.lastId().isEmpty()) {
-      out.headers().set(dialect.lastEventId(), scanner.lastId());
+    if (!answer.lastEventId().isEmpty()) {
+      out.headers().set(dialect.lastEventId(), answer.lastEventId());
     }
     return out;
   }
@@ -271,6 +253,10 @@
     return Math.max(1, Math.min(patience, route.timeoutMillis()) - (now - startedAt));
   }
 
+  private boolean mayHaveRun() {
+    return sendsThatMayHaveRun > 0;
+  }
+
   private static long retryAfter() {
     return RETRY_AFTER_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_AFTER_MILLIS);
   }
@@ -283,308 +269,63 @@
         && gateway.allowance(service).tryRepeat(gateway.routerCount(), gateway.now());
   }
 
-  /** One send and its answer. */
-  private final class Attempt implements UpstreamConnection.Receiver {
-
-    private final Upstream upstream;
-    private final UpstreamConnection connection;
-    private final long sentAt;
-    private final long uncached;
-    private final double expectedMillis;
-    private boolean waiting = true;
-    private boolean open = true;
-    private HttpResponse head;
-    private CompositeByteBuf collected;
-    private boolean relaying;
-
-    Attempt(Upstream upstream, UpstreamConnection connection, long now) {
-      this.upstream = upstream;
-      this.connection = connection;
-      sentAt = now;
-      uncached = upstream.load().uncachedTokens(workload);
-      expectedMillis =
-          workload.promptTokens() == 0
-              ? PLAIN_EXPECTED_MILLIS
-              : STREAM_EXPECTED_MILLIS + (uncached + upstream.load().promptBacklog()) / 60.0;
-      upstream.load().onSend(workload, uncached, now);
-      loadChanged();
-    }
-
-    private void firstByte() {
-      if (waiting) {
-        waiting = false;
-        upstream.load().onFirstByte(uncached);
-        loadChanged();
-      }
-    }
-
-    /** Tells other routers; plain services have no batch whose load they would have to know. */
-    private void loadChanged() {
-      if (workload.promptTokens() > 0) {
-        gateway.loads().changed(upstream.entry().id());
-      }
-    }
-
-    /** Ends the bookkeeping of this send. */
-    private void close() {
-      firstByte();
-      if (open) {
-        open = false;
-        upstream.load().onEnd();
-        loadChanged();
-      }
-      if (collected != null) {
-        collected.release();
-        collected = null;
-      }
-    }
-
-    void cancel() {
-      close();
-      connection.cancel();
-    }
-
-    @Override
-    public void onHead(HttpResponse response) {
-      head = response;
-      readLoad();
-      GatewayDialect dialect = gateway.dialect();
-      int status = response.status().code();
-      if (response.headers().contains(dialect.notRun()) || status == 421) {
-        notRun(status);
-        return;
-      }
-      boolean success = status / 100 == 2;
-      if (success && !response.headers().contains(dialect.signature())) {
-        broken("an answer without signature");
-        return;
-      }
-      if (success && route.kind() == RouteKind.STREAMING) {
-        relaying = true;
-        startRelay();
-      } else if (headWritten) {
-        broken("status " + status + " to a resumed stream");
-      } else {
-        collected = client.channel().alloc().compositeBuffer();
-      }
-    }
-
-    private void readLoad() {
-      String value = head.headers().get(gateway.dialect().load());
-      if (value == null) {
-        return;
-      }
-      try {
-        List<String> f = COMMA.splitToList(value);
-        upstream
-            .load()
-            .onReport(
-                Integer.parseInt(f.get(0)),
-                Integer.parseInt(f.get(1)),
-                Integer.parseInt(f.get(2)),
-                gateway.now());
-      } catch (IndexOutOfBoundsException | NumberFormatException e) {
-        logger.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
-            "upstream: %s reports the load %s", upstream.entry().id(), value);
-      }
-    }
-
-    /** The upstream states that it has not run the request. */
-    private void notRun(int status) {
-      // The rest of this answer is of no use, and a new connection costs less than its handling.
-      close();
-      connection.cancel();
-      current = null;
-      if (attempts == 1) {
-        mayHaveRun = false;
-      }
-      if (status == 421) {
-        gateway.upstreams().markWrongAddress(upstream);
-      } else {
-        upstream.load().onFailure(gateway.now());
-      }
-      if (mayRepeat()) {
-        dispatch("not_run_" + status);
-      } else if (mayHaveRun || headWritten) {
-        noUpstream();
-      } else {
-        refuse(ErrorKind.OVERLOADED, "The upstream did not take the request.", retryAfter());
-      }
-    }
-
-    private void startRelay() {
-      if (scanner == null) {
-        scanner = new EventScanner();
-      }
-      if (headWritten) {
-        return;
-      }
-      HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
-      HopHeaders.copy(head.headers(), out.headers(), Set.of());
-      // A length stays true only if no other upstream can go on with the stream.
-      if (HttpUtil.isContentLengthSet(head) && !route.resumable()) {
-        out.headers()
-            .set(
-                HttpHeaderNames.CONTENT_LENGTH, head.headers().get(HttpHeaderNames.CONTENT_LENGTH));
-      } else {
-        HttpUtil.setTransferEncodingChunked(out, true);
-      }
-      writeHead(out);
-    }
-
-    @Override
-    public void onBody(ByteBuf bytes) {
-      if (relaying) {
-        noteFirstByte();
-        firstByte();
-        ByteBuf whole = scanner.feed(bytes, client.channel().alloc());
-        if (whole.isReadable()) {
-          client.channel().write(new DefaultHttpContent(whole));
-        } else {
-          whole.release();
-        }
-        return;
-      }
-      if (collected == null) {
-        return;
-      }
-      firstByte();
-      if (collected.readableBytes() + bytes.readableBytes() > MAX_COLLECTED_BYTES) {
-        relayPlain();
-        client.channel().write(new DefaultHttpContent(bytes.retain()));
-        return;
-      }
-      collected.addComponent(true, bytes.retain());
-    }
-
-    /** Passes a long answer on as it comes. */
-    private void relayPlain() {
-      if (!headWritten) {
-        noteFirstByte();
-        HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
-        HopHeaders.copy(head.headers(), out.headers(), Set.of());
-        HttpUtil.setTransferEncodingChunked(out, true);
-        writeHead(out);
-      }
-      client.channel().write(new DefaultHttpContent(collected));
-      collected = client.channel().alloc().compositeBuffer();
-    }
-
-    @Override
-    public void onReadComplete() {
-      if (headWritten) {
-        client.channel().flush();
-        onWritable(client.channel().isWritable());
-      }
-    }
-
-    @Override
-    public void onEnd() {
-      if (done || current != this) {
-        return;
-      }
-      int status = head.status().code();
-      long now = gateway.now();
-      if (status >= 500) {
-        upstream.load().onFailure(now);
-      } else {
-        long first = firstByteAt < 0 ? now : firstByteAt;
-        upstream.load().onSuccess((first - sentAt) / expectedMillis, now);
-      }
-      if (headWritten) {
-        ByteBuf rest = scanner == null ? collected.retain() : scanner.takeRest();
-        close();
-        client.writeLast(new DefaultLastHttpContent(rest));
-        finish("ok");
-        return;
-      }
-      if (status >= 500 && route.isRepeatable() && mayRepeat()) {
-        close();
-        current = null;
-        dispatch("status_" + status);
-        return;
-      }
-      deliver(status);
-    }
-
-    private void deliver(int status) {
-      if (status == 408 || status == 429 || status == 503) {
-        // The caller would read such a status as "not run", which the upstream has not said.
-        close();
-        fail(ErrorKind.UPSTREAM_FAILED, "The upstream failed with status " + status + ".");
-        return;
-      }
-      noteFirstByte();
-      var out =
-          new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), collected.retain());
-      HopHeaders.copy(head.headers(), out.headers(), Set.of());
-      out.headers().set(HttpHeaderNames.CONTENT_LENGTH, collected.readableBytes());
-      prepareHead(out);
-      close();
-      client.writeLast(out);
-      finish(status / 100 == 2 ? "ok" : "upstream_" + status);
-    }
-
-    @Override
-    public void onBroken(String reason, boolean silent) {
-      if (silent) {
-        upstream.load().onUnreachable(gateway.now());
-      } else {
-        upstream.load().onFailure(gateway.now());
-      }
-      retryOrFail(reason);
-    }
-
-    private void broken(String reason) {
-      connection.cancel();
-      upstream.load().onFailure(gateway.now());
-      retryOrFail(reason);
-    }
+  // ---------------------------------------------------------------- ends of a send
 
-    private void retryOrFail(String reason) {
-      close();
-      if (done || current != this) {
-        return;
-      }
-      current = null;
-      logger.atInfo().log(
-          "request: %s failed at %s after %s ms: %s",
-          id, upstream.entry().id(), gateway.now() - sentAt, reason);
-      if (scanner != null) {
-        scanner.dropRest();
-      }
-      boolean plainBegun = headWritten && scanner == null;
-      if (route.isRepeatable() && !plainBegun && mayRepeat()) {
-        dispatch(headWritten ? "resumed" : "broken");
-      } else if (headWritten) {
-        breakOff(reason);
-      } else {
-        fail(ErrorKind.UPSTREAM_FAILED, "The upstream failed.");
-      }
+  @Override
+  public void notRun(Attempt attempt, int status) {
+    current = null;
+    sendsThatMayHaveRun--;
+    if (mayRepeat()) {
+      dispatch("not_run_" + status);
+    } else if (mayHaveRun() || answer.isBegun()) {
+      noUpstream();
+    } else {
+      refuse(ErrorKind.OVERLOADED, "The upstream did not take the request.", retryAfter());
     }
   }
 
-  // ---------------------------------------------------------------- answers
+  @Override
+  public void passedOn(Attempt attempt) {
+    finish("ok");
+  }
 
-  private void noteFirstByte() {
-    if (firstByteAt < 0) {
-      firstByteAt = gateway.now();
-      gateway.metrics().firstByte(kindName(), firstByteAt - startedAt);
+  @Override
+  public void answered(Attempt attempt, HttpResponse head, CompositeByteBuf body) {
+    current = null;
+    int status = head.status().code();
+    if (status >= 500 && route.isRepeatable() && mayRepeat()) {
+      body.release();
+      dispatch("status_" + status);
+      return;
     }
+    if (status == 408 || status == 429 || status == 503) {
+      // The caller would read such a status as "not run", which the upstream has not said.
+      body.release();
+      fail(ErrorKind.UPSTREAM_FAILED, "The upstream failed with status " + status + ".");
+      return;
+    }
+    answer.writeWhole(head, body);
+    finish(status / 100 == 2 ? "ok" : "upstream_" + status);
   }
 
-  private void prepareHead(HttpResponse out) {
-    if (client.closesAfterAnswer(request.head())) {
-      client.closeAfterAnswer();
-      out.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+  @Override
+  public void failed(Attempt attempt, String reason) {
+    current = null;
+    logger.atInfo().log(
+        "request: %s failed at %s after %s ms: %s",
+        id, attempt.upstream().entry().id(), attempt.ageMillis(), reason);
+    answer.dropIncomplete();
+    boolean resumes = answer.isBegun() && answer.isStream();
+    if (route.isRepeatable() && (resumes || !answer.isBegun()) && mayRepeat()) {
+      dispatch(resumes ? "resumed" : "broken");
+    } else if (answer.isBegun()) {
+      breakOff(reason);
+    } else {
+      fail(ErrorKind.UPSTREAM_FAILED, "The upstream failed.");
     }
   }
 
-  private void writeHead(HttpResponse out) {
-    headWritten = true;
-    prepareHead(out);
-    client.channel().writeAndFlush(out);
-  }
+  // ---------------------------------------------------------------- answers
 
   /** Refuses the request, which has not run and will not. */
   private void refuse(ErrorKind kind, String message, long retryAfterMillis) {
@@ -603,20 +344,15 @@
   }
 
   private void answerError(ErrorKind kind, String message, long retryAfterMillis) {
-    if (!HttpUtil.isKeepAlive(request.head())) {
-      client.closeAfterAnswer();
-    }
-    client.writeRefusal(kind, message, id, retryAfterMillis);
+    answer.writeError(kind, message, retryAfterMillis);
     finish(kind.code());
   }
 
-  /** Ends an answer that has begun so that it does not look complete. */
   private void breakOff(String reason) {
     logger.atInfo().log(
         "request: %s broken off after %s ms and %s events: %s",
-        id, gateway.now() - startedAt, scanner == null ? 0 : scanner.events(), reason);
-    client.channel().flush();
-    client.abort();
+        id, gateway.now() - startedAt, answer.events(), reason);
+    answer.breakOff();
     finish("broken_off");
   }
 
@@ -627,9 +363,9 @@
     if (current != null) {
       current.cancel();
     }
-    if (headWritten) {
+    if (answer.isBegun()) {
       breakOff("the route's time is up");
-    } else if (mayHaveRun) {
+    } else if (mayHaveRun()) {
       fail(ErrorKind.DEADLINE_EXCEEDED, "The upstream did not answer in time.");
     } else {
       refuse(ErrorKind.DEADLINE_UNREACHABLE, "The request could not be sent in time.", 0);
@@ -649,8 +385,8 @@
 
   /** Reads from the upstream only while the caller takes its answer. */
   void onWritable(boolean writable) {
-    if (current != null && headWritten) {
-      current.connection.setReading(writable);
+    if (current != null && answer.isBegun()) {
+      current.connection().setReading(writable);
     }
   }
 
@@ -664,10 +400,11 @@
       timeout.cancel(false);
     }
     settle();
-    if (scanner != null) {
-      scanner.dropRest();
-    }
+    answer.dropIncomplete();
     request.body().release();
+    if (answer.firstByteAt() >= 0) {
+      gateway.metrics().firstByte(kindName(), answer.firstByteAt() - startedAt);
+    }
     gateway.metrics().finished(kindName(), outcome);
     logFinish(outcome);
     gateway.exchangeEnded();
@@ -689,7 +426,7 @@
         attempts,
         readAt - startedAt,
         tokensAt < 0 ? -1 : tokensAt - readAt,
-        firstByteAt < 0 ? -1 : firstByteAt - startedAt);
+        answer.firstByteAt() < 0 ? -1 : answer.firstByteAt() - startedAt);
   }
 
   private String kindName() {
@@ -702,10 +439,10 @@
       return;
     }
     long used = 0;
-    if (mayHaveRun) {
+    if (mayHaveRun()) {
       long perEvent =
           serviceSettings.flatMap(ServiceSettings::engine).map(e -> e.tokensPerEvent()).orElse(1);
-      long output = scanner == null ? 0 : scanner.events() * perEvent;
+      long output = answer.events() * perEvent;
       used = workload.promptTokens() + Math.min(output, workload.maxOutputTokens());
     }
     gateway.prepaid().settle(workspace.name(), reservedTokens, used);
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -98,6 +98,15 @@
     assertThat(answer).contains("\"run\":\"not_run\"");
   }
 
+  @Example
+  void requestThatTwoUpstreamsRejectedIsNotRunEither() throws Exception {
+    ScriptedUpstream one = fixture.upstream("u1", c -> c.reply(503, "X-Not-Run: 1\r\n", ""));
+    ScriptedUpstream two = fixture.upstream("u2", c -> c.reply(429, "X-Not-Run: 1\r\n", ""));
+    String answer = fixture.call("GET", "/safe/a", "", "");
+    assertThat(answer).startsWith("HTTP/1.1 503 ").containsIgnoringCase("retry-after: ");
+    assertThat(one.calls.size() + two.calls.size()).isEqualTo(2);
+  }
+
   @Example
   void statusThatPromisesNotRunIsNotPassedOnFromAnUpstreamThatDidNotSaySo() throws Exception {
     fixture.upstream("u1", c -> c.reply(503, SIGNED, ""));
@@ -211,6 +220,18 @@
     assertThat(one.calls.size() + two.calls.size()).isEqualTo(1);
   }
 
+  @Example
+  void streamThatBreaksBeforeItsFirstWholeEventIsAnsweredAsFailure() throws Exception {
+    fixture.upstream(
+        "u1",
+        c -> {
+          stream(c, "id: 1\nda");
+          Thread.sleep(100);
+          c.reset();
+        });
+    assertThat(fixture.call("POST", "/stream/a", "", "")).startsWith("HTTP/1.1 502 ");
+  }
+
   @Example
   void silentUpstreamIsGivenUpAtTheTimeoutOfTheRoute() throws Exception {
     ScriptedUpstream u = fixture.upstream("u1", c -> Thread.sleep(5_000));
