--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/BenchFleet.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/BenchFleet.java
@@ -1,4 +1,4 @@
-package org.goldcrestfall.daemon.bench;
+package org.goldcrestfall.bench;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/BudgetPolicy.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/BudgetPolicy.java
@@ -1,8 +1,8 @@
-package org.goldcrestfall.daemon.bench;
+package org.goldcrestfall.bench;
 
 import java.util.function.Consumer;
-import org.goldcrestfall.daemon.bench.BudgetTrace.Request;
-import org.goldcrestfall.daemon.bench.BudgetTrace.TopUp;
+import org.goldcrestfall.bench.BudgetTrace.Request;
+import org.goldcrestfall.bench.BudgetTrace.TopUp;
 
 /** A way to keep the routers of a trace within the budgets. */
 interface BudgetPolicy {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/BudgetTrace.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/BudgetTrace.java
@@ -1,4 +1,4 @@
-package org.goldcrestfall.daemon.bench;
+package org.goldcrestfall.bench;
 
 import com.google.common.hash.Hashing;
 import java.nio.charset.StandardCharsets;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/ConfigBenchOptions.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/ConfigBenchOptions.java
@@ -1,4 +1,4 @@
-package org.goldcrestfall.daemon.bench;
+package org.goldcrestfall.bench;
 
 import com.beust.jcommander.Parameter;
 import java.util.List;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/EscrowPolicy.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/EscrowPolicy.java
@@ -1,10 +1,12 @@
-package org.goldcrestfall.daemon.bench;
+package org.goldcrestfall.bench;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.goldcrestfall.bench.BudgetTrace.Request;
+import org.goldcrestfall.bench.BudgetTrace.TopUp;
 import org.goldcrestfall.core.budget.ReserveShare;
 import org.goldcrestfall.core.common.Incarnation;
 import org.goldcrestfall.core.control.BudgetView;
@@ -14,8 +16,6 @@
 import org.goldcrestfall.core.control.ControlState;
 import org.goldcrestfall.core.control.Intent;
 import org.goldcrestfall.core.control.Tradeoff;
-import org.goldcrestfall.daemon.bench.BudgetTrace.Request;
-import org.goldcrestfall.daemon.bench.BudgetTrace.TopUp;
 
 /** The system's own way: the control state and the routers' ledgers, over a simulated network. */
 final class EscrowPolicy implements BudgetPolicy {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/EscrowRouter.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/EscrowRouter.java
@@ -1,4 +1,4 @@
-package org.goldcrestfall.daemon.bench;
+package org.goldcrestfall.bench;
 
 import java.util.ArrayDeque;
 import java.util.HashMap;
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.function.Consumer;
+import org.goldcrestfall.bench.BudgetTrace.Request;
 import org.goldcrestfall.core.budget.AllotmentLedger;
 import org.goldcrestfall.core.budget.BlockWatermark;
 import org.goldcrestfall.core.budget.GrantPolicy;
@@ -20,7 +21,6 @@
 import org.goldcrestfall.core.control.ControlReply;
 import org.goldcrestfall.core.control.Recall;
 import org.goldcrestfall.core.control.Tradeoff;
-import org.goldcrestfall.daemon.bench.BudgetTrace.Request;
 
 /** One router incarnation of the replay, wired as the daemon wires it. */
 final class EscrowRouter {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/ExpiringAllotments.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/ExpiringAllotments.java
@@ -1,8 +1,8 @@
-package org.goldcrestfall.daemon.bench;
+package org.goldcrestfall.bench;
 
 import java.util.function.Consumer;
-import org.goldcrestfall.daemon.bench.BudgetTrace.Request;
-import org.goldcrestfall.daemon.bench.BudgetTrace.TopUp;
+import org.goldcrestfall.bench.BudgetTrace.Request;
+import org.goldcrestfall.bench.BudgetTrace.TopUp;
 
 /**
  * Baseline: routers draw allotments of a few seconds of demand that expire after a minute unless
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/LogBench.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/LogBench.java
@@ -1,4 +1,4 @@
-package org.goldcrestfall.daemon.bench;
+package org.goldcrestfall.bench;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/StaticSplit.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/StaticSplit.java
@@ -1,10 +1,10 @@
-package org.goldcrestfall.daemon.bench;
+package org.goldcrestfall.bench;
 
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Consumer;
-import org.goldcrestfall.daemon.bench.BudgetTrace.Request;
-import org.goldcrestfall.daemon.bench.BudgetTrace.TopUp;
+import org.goldcrestfall.bench.BudgetTrace.Request;
+import org.goldcrestfall.bench.BudgetTrace.TopUp;
 
 /**
  * Baseline: each top-up is split evenly over the routers at once and never moves again. A router
--- a/daemon/src/main/java/org/goldcrestfall/daemon/bench/TraceReplay.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/TraceReplay.java
@@ -1,13 +1,13 @@
-package org.goldcrestfall.daemon.bench;
+package org.goldcrestfall.bench;
 
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Function;
-import org.goldcrestfall.daemon.bench.BudgetTrace.Crash;
-import org.goldcrestfall.daemon.bench.BudgetTrace.Request;
-import org.goldcrestfall.daemon.bench.BudgetTrace.TopUp;
+import org.goldcrestfall.bench.BudgetTrace.Crash;
+import org.goldcrestfall.bench.BudgetTrace.Request;
+import org.goldcrestfall.bench.BudgetTrace.TopUp;
 
 /**
  * Replays a trace through a policy and compares its decisions with an oracle. The oracle knows the
