Time the first byte of an upstream by its own send

Cause: after a resumed stream the second upstream was rated by the first byte of the whole answer, which lies before its send. The negative ratio made its slowness negative, so that this router preferred it to all others for seconds. Excluded: slowness below 1 of engines that answer sooner than expected, which is meant.

GatewayTest.resumedStreamDoesNotMakeItsSecondUpstreamLookFast failed before.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -50,7 +50,7 @@
   private final long sentAt;
   private final long uncached;
   private final double expectedMillis;
-  private boolean waiting = true;
+  private long firstByteAt = -1;
   private boolean open = true;
   private HttpResponse head;
   private CompositeByteBuf collected;
@@ -100,8 +100,8 @@
   }
 
   private void firstByte() {
-    if (waiting) {
-      waiting = false;
+    if (firstByteAt < 0) {
+      firstByteAt = gateway.now();
       upstream.load().onFirstByte(uncached);
       loadChanged();
     }
@@ -214,8 +214,8 @@
     if (head.status().code() >= 500) {
       upstream.load().onFailure(now);
     } else {
-      long first = answer.firstByteAt() < 0 ? now : answer.firstByteAt();
-      upstream.load().onSuccess((first - sentAt) / expectedMillis, now);
+      firstByte();
+      upstream.load().onSuccess((firstByteAt - sentAt) / expectedMillis, now);
     }
     if (collected == null) {
       answer.endStream();
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -205,6 +205,32 @@
     assertThat(answer).doesNotContain("id: 3\nda\r\n").endsWith("0\r\n\r\n");
   }
 
+  /** The time to the first event is that of the upstream, not of the whole answer. */
+  @Example
+  void resumedStreamDoesNotMakeItsSecondUpstreamLookFast() throws Exception {
+    ScriptedUpstream.Script script =
+        c -> {
+          if (c.header("Last-Event-Id").isEmpty()) {
+            stream(c, "id: 1\ndata: a\n\n");
+            Thread.sleep(400);
+            c.reset();
+          } else {
+            stream(c, "id: 2\ndata: b\n\n");
+            c.write("0\r\n\r\n");
+          }
+        };
+    fixture.upstream("u1", script);
+    fixture.upstream("u2", script);
+    assertThat(fixture.call("POST", "/resume/a", "X-Tokens: 60,10\r\n", "")).contains("id: 2");
+    fixture.onLoop(
+        () ->
+            fixture
+                .gateway
+                .upstreams()
+                .all()
+                .forEach(u -> assertThat(u.load().slowness(fixture.gateway.now())).isPositive()));
+  }
+
   @Example
   void brokenStreamThatMayNotBeResumedDoesNotLookComplete() throws Exception {
     ScriptedUpstream.Script script =
