Tell other routers which shared prompt parts an engine has read

Cause: a router knew only of prompts that it had sent itself, and expected others at their home. An engine that had taken a prompt from a busy home was known to one router, so that others had the prompt read a third time. Excluded: cache evictions, since the engines were never near their memory.

Notices of load carry the parts that the sender was the first to send to an engine; a home is assumed only where no engine is known to have the prompt.

--- a/core/src/main/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoice.java
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoice.java
@@ -1,6 +1,7 @@
 package org.goldcrestfall.core.dispatch;
 
 import java.util.Collection;
+import java.util.List;
 import java.util.Optional;
 import org.goldcrestfall.core.common.RendezvousHash;
 
@@ -48,13 +49,12 @@
   public Optional<UpstreamLoad> choose(
       Collection<UpstreamLoad> candidates, Workload workload, long nowMillis) {
     boolean anyUsable = candidates.stream().anyMatch(c -> !c.isPaused(nowMillis));
-    final Homes homes = homesOf(candidates, workload);
+    List<UpstreamLoad> usable =
+        candidates.stream().filter(c -> !anyUsable || !c.isPaused(nowMillis)).toList();
+    final Homes homes = isKnown(usable, workload) ? Homes.NONE : homesOf(candidates, workload);
     UpstreamLoad best = null;
     double bestWait = Double.MAX_VALUE;
-    for (UpstreamLoad c : candidates) {
-      if (anyUsable && c.isPaused(nowMillis)) {
-        continue;
-      }
+    for (UpstreamLoad c : usable) {
       double wait = expectedWait(c, workload, homes.confidence(c), nowMillis);
       if (wait < bestWait) {
         bestWait = wait;
@@ -67,6 +67,8 @@
   /** The upstreams where the shared parts of a prompt are expected; empty for none. */
   private record Homes(String first, String second) {
 
+    static final Homes NONE = new Homes("", "");
+
     double confidence(UpstreamLoad c) {
       if (c.id().equals(first)) {
         return HOME_CONFIDENCE;
@@ -75,6 +77,13 @@
     }
   }
 
+  /** Returns whether any upstream is known to have read all shared parts of a prompt. */
+  private static boolean isKnown(List<UpstreamLoad> usable, Workload workload) {
+    long own = workload.promptTokens() - workload.sharedTokens();
+    return workload.sharedTokens() > 0
+        && usable.stream().anyMatch(c -> c.uncachedTokens(workload) <= own);
+  }
+
   private static Homes homesOf(Collection<UpstreamLoad> candidates, Workload workload) {
     String key = workload.sharedKey();
     String first = "";
@@ -107,7 +116,7 @@
     } else {
       double uncached = c.uncachedTokens(workload);
       if (confidence > 0) {
-        long own = workload.parts().get(workload.parts().size() - 1).tokens();
+        long own = workload.promptTokens() - workload.sharedTokens();
         uncached = Math.min(uncached, own + (1 - confidence) * uncached);
       }
       double tokens = c.promptBacklog() + READING_WEIGHT * uncached;
--- a/core/src/main/java/org/goldcrestfall/core/dispatch/UpstreamLoad.java
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/UpstreamLoad.java
@@ -1,11 +1,13 @@
 package org.goldcrestfall.core.dispatch;
 
+import java.util.ArrayList;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 
 /**
  * What one router knows of one upstream: its own requests there, the load that answers report, the
- * times of answers, failures, and the prompt parts that it has sent there. Not thread-safe.
+ * times of answers, failures, and the prompt parts that routers have sent there. Not thread-safe.
  */
 public final class UpstreamLoad {
 
@@ -47,6 +49,7 @@
         }
       };
 
+  private final List<PromptPart> newParts = new ArrayList<>();
   private int running;
   private long promptBacklog;
   private int othersRunning;
@@ -80,12 +83,25 @@
     running++;
     sentSinceReport++;
     promptBacklog += uncachedTokens;
-    // The last part is the request's own and no other request can use it.
-    for (int i = 0; i + 1 < workload.parts().size(); i++) {
-      parts.put(workload.parts().get(i).id(), workload.parts().get(i).tokens());
+    for (PromptPart p : workload.sharedParts()) {
+      if (parts.put(p.id(), p.tokens()) == null) {
+        newParts.add(p);
+      }
     }
   }
 
+  /** Returns the parts that this router was the first to send here, once. */
+  public List<PromptPart> takeNewParts() {
+    List<PromptPart> out = List.copyOf(newParts);
+    newParts.clear();
+    return out;
+  }
+
+  /** Takes the parts that another router has sent here. */
+  public void onPartsOfOthers(List<PromptPart> sent) {
+    sent.forEach(p -> parts.put(p.id(), p.tokens()));
+  }
+
   /** Ends the wait for the first part of an answer. */
   public void onFirstByte(long uncachedTokens) {
     promptBacklog -= uncachedTokens;
@@ -148,7 +164,7 @@
     slowness = 1 + (slowness - 1) * keep;
   }
 
-  /** Returns the tokens of a prompt that this router has not sent here before. */
+  /** Returns the tokens of a prompt that no router is known to have sent here before. */
   public long uncachedTokens(Workload workload) {
     long cached = 0;
     for (PromptPart p : workload.parts()) {
--- a/core/src/main/java/org/goldcrestfall/core/dispatch/Workload.java
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/Workload.java
@@ -1,6 +1,7 @@
 package org.goldcrestfall.core.dispatch;
 
 import com.google.common.collect.ImmutableList;
+import java.util.List;
 
 /**
  * What a request says of its size.
@@ -19,6 +20,20 @@
     return promptTokens + maxOutputTokens;
   }
 
+  /** Returns the parts that other requests can share; the last one is the request's own. */
+  public List<PromptPart> sharedParts() {
+    return parts.subList(0, Math.max(0, parts.size() - 1));
+  }
+
+  /** Returns the tokens of all parts that other requests can share. */
+  public long sharedTokens() {
+    long sum = 0;
+    for (PromptPart p : sharedParts()) {
+      sum += p.tokens();
+    }
+    return sum;
+  }
+
   /** Returns the id of the last part that other requests can share, or an empty string. */
   public String sharedKey() {
     return parts.size() < 2 ? "" : parts.get(parts.size() - 2).id();
--- a/core/src/test/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoiceTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoiceTest.java
@@ -121,6 +121,21 @@
     assertThat(choose(all, w, 0)).isNotEqualTo(home);
   }
 
+  /** An engine that took a prompt from a busy home keeps it for all routers, not only for one. */
+  @Example
+  void partThatAnotherRouterHasSentElsewhereIsReadThereAndNotAtTheHome() {
+    List<UpstreamLoad> all = List.of(upstream("a"), upstream("b"), upstream("c"));
+    Workload w = prompt("plan-7", "own");
+    String home = choose(all, w, 0);
+    UpstreamLoad other = all.stream().filter(u -> !u.id().equals(home)).findFirst().orElseThrow();
+    Workload first = prompt("plan-7", "first");
+    UpstreamLoad seenByOther = upstream(other.id());
+    seenByOther.onSend(first, first.promptTokens(), 0);
+    other.onPartsOfOthers(seenByOther.takeNewParts());
+    assertThat(choose(all, w, 0)).isEqualTo(other.id());
+    assertThat(seenByOther.takeNewParts()).isEmpty();
+  }
+
   @Example
   void whatDeadRouterToldIsForgotten() {
     FleetLoad fleet = new FleetLoad();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/LoadExchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/LoadExchange.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.common.RendezvousHash;
 import org.goldcrestfall.core.dispatch.FleetLoad;
+import org.goldcrestfall.core.dispatch.PromptPart;
 import org.goldcrestfall.core.dispatch.UpstreamLoad;
 import org.goldcrestfall.daemon.site.SiteClient;
 import org.goldcrestfall.wire.PeerTransport;
@@ -17,11 +18,13 @@
 import org.goldcrestfall.wire.generated.Body.KindCase;
 import org.goldcrestfall.wire.generated.DaemonEntry;
 import org.goldcrestfall.wire.generated.LoadNotice;
+import org.goldcrestfall.wire.generated.SentPart;
 import org.goldcrestfall.wire.generated.UpstreamShare;
 
 /**
  * Tells other routers of this router's requests at engines, and takes what they tell, so that all
- * see the load of an engine before its own reports do. Confined to the router's event loop.
+ * see the load of an engine before its own reports do, and know the prompts that it has read.
+ * Confined to the router's event loop.
  */
 final class LoadExchange {
 
@@ -81,7 +84,11 @@
       } else {
         told.put(id, share);
       }
-      notice.addShares(encode(id, share));
+      UpstreamShare.Builder encoded = encode(id, share);
+      if (u != null) {
+        u.load().takeNewParts().forEach(p -> encoded.addParts(encode(p)));
+      }
+      notice.addShares(encoded);
     }
     changed.clear();
     send(notice);
@@ -97,12 +104,15 @@
     }
   }
 
-  private static UpstreamShare encode(String id, FleetLoad.Share share) {
+  private static UpstreamShare.Builder encode(String id, FleetLoad.Share share) {
     return UpstreamShare.newBuilder()
         .setUpstream(id)
         .setRunning(share.running())
-        .setBacklog(share.backlog())
-        .build();
+        .setBacklog(share.backlog());
+  }
+
+  private static SentPart encode(PromptPart p) {
+    return SentPart.newBuilder().setId(p.id()).setTokens(p.tokens()).build();
   }
 
   private void send(LoadNotice.Builder notice) {
@@ -125,6 +135,11 @@
         fleet.forget(s.getUpstream());
       } else {
         update(u.load(), now);
+        u.load()
+            .onPartsOfOthers(
+                s.getPartsList().stream()
+                    .map(p -> new PromptPart(p.getId(), p.getTokens()))
+                    .toList());
       }
     }
   }
