Split the search for prepaid tokens from PrepaidTokens, and bound it

With an empty budget every request asked the ledger and all other routers in rounds of 12, however large the fleet.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
@@ -13,6 +13,9 @@
   /** A shorter measurement says too little of the demand to be extended over the window. */
   private static final long MIN_MEASURED_MILLIS = 4_000;
 
+  /** What a search for tokens has not found is not searched for again for so long. */
+  private static final long VAIN_SEARCH_MILLIS = 500;
+
   private long grantedTotal;
   private long returnedTotal;
   private long openedTotal;
@@ -25,6 +28,8 @@
   private long demandSince = -1;
   private long ledgerAvailable = -1;
   private long ledgerAt;
+  private long vainTokens = Long.MAX_VALUE;
+  private long vainUntil = Long.MIN_VALUE;
 
   /** Takes the ledger's answer; it holds sums, so a repeat changes nothing. */
   public void granted(PrepaidLedger.Allotment allotment, long nowMillis) {
@@ -119,6 +124,17 @@
     free += tokens;
   }
 
+  /** Notes that neither the ledger nor other routers had so many tokens. */
+  public void noteVainSearch(long tokens, long nowMillis) {
+    vainTokens = nowMillis < vainUntil ? Math.min(vainTokens, tokens) : tokens;
+    vainUntil = nowMillis + VAIN_SEARCH_MILLIS;
+  }
+
+  /** Returns whether so many tokens, or fewer, were not found a short time ago. */
+  public boolean isSearchVain(long tokens, long nowMillis) {
+    return nowMillis < vainUntil && tokens >= vainTokens;
+  }
+
   /** Returns tokens to the ledger by raising the sums of returns, from the reserve first. */
   public void giveBack(long tokens) {
     long closed = Math.max(0, Math.min(tokens, unopened()));
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -4,7 +4,6 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import io.netty.channel.EventLoop;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -23,7 +22,6 @@
 import org.goldcrestfall.wire.PeerTransport;
 import org.goldcrestfall.wire.generated.Body;
 import org.goldcrestfall.wire.generated.Body.KindCase;
-import org.goldcrestfall.wire.generated.DaemonEntry;
 import org.goldcrestfall.wire.generated.TokenLoan;
 import org.goldcrestfall.wire.generated.TokenLoanRequest;
 
@@ -65,23 +63,6 @@
   private static final long RENEW_MILLIS = 500;
   private static final long RENEW_TIMEOUT_MILLIS = 900;
 
-  /** Other routers of the region answer within a few milliseconds. */
-  private static final long LOAN_TIMEOUT_MILLIS = 150;
-
-  /** The routers that are asked at first for one request, and then if these had too little. */
-  private static final int FIRST_LENDERS = 4;
-
-  private static final int MORE_LENDERS = 12;
-
-  /** Each of several lenders is asked for this part of what is short. */
-  private static final int LOAN_PARTS = 2;
-
-  /** The ledger answers within a few milliseconds; after this wait other routers are asked too. */
-  private static final long LEDGER_FIRST_MILLIS = 40;
-
-  /** A router that has heard no control daemon for so long asks other routers at once. */
-  private static final long CONTACT_MILLIS = 1_600;
-
   /** A lender keeps this part of its tokens for its own callers. */
   private static final int LENDER_KEEPS = 4;
 
@@ -174,7 +155,7 @@
       }
       return CompletableFuture.completedFuture(Outcome.RESERVED);
     }
-    return borrow(workspace, account, tokens);
+    return search(workspace, account, tokens);
   }
 
   /** Ends a reservation of which {@code used} tokens were consumed. */
@@ -195,108 +176,37 @@
   // ---------------------------------------------------------------- loans
 
   /** Asks the ledger, and other routers where it does not answer at once or has too little. */
-  private CompletableFuture<Outcome> borrow(String workspace, PrepaidAccount account, long tokens) {
-    Loan loan = new Loan(workspace, account, tokens);
-    CompletableFuture<Void> ledger = commitRenewal(workspace, tokens - account.free());
-    ledger.whenComplete((v, e) -> loan.ledgerAnswered());
-    if (!ledger.isDone()) {
-      long wait = site.contactAgeMillis() > CONTACT_MILLIS ? 0 : LEDGER_FIRST_MILLIS;
-      loop.schedule(loan::askLenders, wait, TimeUnit.MILLISECONDS);
-    }
-    return loan.result;
-  }
-
-  /** The search for the tokens of one request. */
-  private final class Loan {
-
-    final CompletableFuture<Outcome> result = new CompletableFuture<>();
-    private final String workspace;
-    private final PrepaidAccount account;
-    private final long tokens;
-    private final List<DaemonEntry> lenders = new ArrayList<>(site.otherRouters());
-    private boolean ledgerOpen = true;
-    private boolean begun;
-    private int open;
-
-    Loan(String workspace, PrepaidAccount account, long tokens) {
-      this.workspace = workspace;
-      this.account = account;
-      this.tokens = tokens;
-      Collections.shuffle(lenders);
-    }
-
-    void ledgerAnswered() {
-      ledgerOpen = false;
-      if (!tryReserve()) {
-        askLenders();
-      }
-    }
-
-    private boolean tryReserve() {
-      if (!result.isDone() && account.reserve(tokens)) {
-        result.complete(Outcome.RESERVED);
-      }
-      return result.isDone();
-    }
-
-    void askLenders() {
-      if (result.isDone() || begun) {
-        return;
-      }
-      begun = true;
-      ask(FIRST_LENDERS);
-    }
-
-    private void ask(int count) {
-      if (lenders.isEmpty()) {
-        giveUpIfDone();
-        return;
-      }
-      int asked = Math.min(count, lenders.size());
-      List<DaemonEntry> now = List.copyOf(lenders.subList(0, asked));
-      lenders.subList(0, asked).clear();
-      long part = (tokens - account.free()) / Math.min(asked, LOAN_PARTS) + 1;
-      open += asked;
-      for (DaemonEntry lender : now) {
-        request(lender, part).whenCompleteAsync((v, e) -> answered(), loop);
-      }
-    }
-
-    private CompletableFuture<Void> request(DaemonEntry lender, long part) {
-      TokenLoanRequest request =
-          TokenLoanRequest.newBuilder().setWorkspace(workspace).setTokens(part).build();
-      return transport
-          .call(
-              lender.getAddress(),
-              Body.newBuilder().setTokenLoanRequest(request).build(),
-              LOAN_TIMEOUT_MILLIS)
-          .thenAcceptAsync(body -> account.borrowed(body.getTokenLoan().getTokens()), loop);
-    }
-
-    private void answered() {
-      open--;
-      if (tryReserve() || open > 0) {
-        return;
-      }
-      // The rest in one round: with many routers some of them are left out.
-      ask(MORE_LENDERS);
-    }
-
-    private void giveUpIfDone() {
-      lenders.clear();
-      if (!ledgerOpen || site.contactAgeMillis() > CONTACT_MILLIS) {
-        result.complete(refusal(workspace, account, tokens));
-      } else {
-        // The ledger's answer decides.
-        begun = false;
-      }
+  private CompletableFuture<Outcome> search(String workspace, PrepaidAccount account, long tokens) {
+    if (account.isSearchVain(tokens, clock.nowMillis())) {
+      return CompletableFuture.completedFuture(Outcome.EXHAUSTED);
     }
+    return new TokenSearch(
+            site,
+            transport,
+            loop,
+            workspace,
+            account,
+            tokens,
+            () -> commitRenewal(workspace, tokens - account.free()),
+            () -> refusal(account, tokens))
+        .start()
+        .whenComplete((outcome, e) -> searched(workspace, account, tokens, outcome));
   }
 
-  private Outcome refusal(String workspace, PrepaidAccount account, long tokens) {
+  private Outcome refusal(PrepaidAccount account, long tokens) {
     boolean fresh = clock.nowMillis() - account.ledgerAt() < LEDGER_FRESH_MILLIS;
     boolean exhausted =
         fresh && account.ledgerAvailable() >= 0 && account.ledgerAvailable() < tokens;
+    return exhausted ? Outcome.EXHAUSTED : Outcome.UNAVAILABLE;
+  }
+
+  private void searched(String workspace, PrepaidAccount account, long tokens, Outcome outcome) {
+    if (outcome == Outcome.RESERVED) {
+      return;
+    }
+    if (outcome == Outcome.EXHAUSTED) {
+      account.noteVainSearch(tokens, clock.nowMillis());
+    }
     logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
         "prepaid: workspace %s: %s tokens wanted, %s free here, %s in the ledger %s ms ago",
         workspace,
@@ -304,7 +214,6 @@
         account.free(),
         account.ledgerAvailable(),
         clock.nowMillis() - account.ledgerAt());
-    return exhausted ? Outcome.EXHAUSTED : Outcome.UNAVAILABLE;
   }
 
   private Body lend(Incarnation sender, TokenLoanRequest request) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -173,6 +173,10 @@
         .get(LIMIT_SECONDS, TimeUnit.SECONDS);
   }
 
+  void run(Runnable task) throws Exception {
+    loop.submit(task).get(LIMIT_SECONDS, TimeUnit.SECONDS);
+  }
+
   /** Puts a configuration, again until it is acknowledged. */
   void put(String host, String document) throws Exception {
     await(
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
@@ -116,4 +117,67 @@
     assertThat(site.call(() -> router.tokens().reserve("w", 5_000))).isEqualTo(Outcome.EXHAUSTED);
     assertThat(site.call(() -> router.tokens().reserve("w", 900))).isEqualTo(Outcome.RESERVED);
   }
+
+  /** The page owes callers service until 97 in 100 of the prepaid tokens are used. */
+  @Example
+  void budgetIsUsedToItsLastPercentsThoughOtherRoutersHoldTokens() throws Exception {
+    open(1);
+    final long total = 1_000_000;
+    site.put("c0", "1 w " + total);
+    final Router busy = site.router(site::addresses);
+    List<Router> others = new ArrayList<>();
+    for (int i = 0; i < 5; i++) {
+      others.add(site.router(site::addresses));
+    }
+    SiteFixture.await(() -> busy.site().routerCount() == 6);
+    for (Router r : others) {
+      SiteFixture.await(() -> r.versions().equals(List.of(1L)));
+      assertThat(site.call(() -> r.tokens().reserve("w", 20_000))).isEqualTo(Outcome.RESERVED);
+      site.run(() -> r.tokens().settle("w", 20_000, 0));
+    }
+    Thread.sleep(700);
+    long spent = 0;
+    for (int refusals = 0; refusals < 8; ) {
+      if (site.call(() -> busy.tokens().reserve("w", 5_000)) == Outcome.RESERVED) {
+        site.run(() -> busy.tokens().settle("w", 5_000, 5_000));
+        spent += 5_000;
+        refusals = 0;
+      } else {
+        refusals++;
+        Thread.sleep(100);
+      }
+    }
+    assertThat(spent).isBetween(total * 97 / 100, total);
+  }
+
+  /** What is left of a budget lies in small pieces at all routers that serve its workspace. */
+  @Example
+  void largeRequestsGetTheLastPiecesOfBudgetFromAllRouters() throws Exception {
+    open(1);
+    final long total = 1_000_000;
+    final long size = 20_000;
+    site.put("c0", "1 w " + total);
+    List<Router> routers = new ArrayList<>();
+    for (int i = 0; i < 8; i++) {
+      routers.add(site.router(site::addresses));
+    }
+    for (Router r : routers) {
+      SiteFixture.await(() -> r.site().routerCount() == 8 && r.versions().equals(List.of(1L)));
+    }
+    long spent = 0;
+    int refusals = 0;
+    for (int i = 0; refusals < 24; i++) {
+      PrepaidTokens tokens = routers.get(i % 8).tokens();
+      if (site.call(() -> tokens.reserve("w", size)) == Outcome.RESERVED) {
+        // Callers state the most that an answer may have; most answers are shorter.
+        site.run(() -> tokens.settle("w", size, size - 3_000));
+        spent += size - 3_000;
+        refusals = 0;
+      } else {
+        refusals++;
+      }
+      Thread.sleep(20);
+    }
+    assertThat(spent).isBetween(total * 97 / 100, total);
+  }
 }
