Send a long prompt where few streams run

Cause: an engine that reads 25,000 tokens or more at once stops the streams of its batch for longer than the 500 ms that callers accept.

The choice adds a wait for each running request where the reading would take over 400 ms. longPromptGoesWhereFewStreamsRun failed before.

--- a/core/src/main/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoice.java
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoice.java
@@ -38,6 +38,12 @@
    */
   private static final double READING_WEIGHT = 3;
 
+  /** An engine that reads so long at once stops its streams for longer than callers accept. */
+  private static final double LONG_READ_MILLIS = 400;
+
+  /** What such a stop costs for each running request, in milliseconds of wait. */
+  private static final double STOPPED_STREAM_MILLIS = 20;
+
   private final String zone;
 
   /** Creates the choice of a router in an availability zone. */
@@ -122,6 +128,9 @@
       double tokens = c.promptBacklog() + READING_WEIGHT * uncached;
       wait = tokens / UpstreamLoad.PREFILL_TOKENS_PER_MILLI + MILLIS_PER_RUNNING * load;
       wait += Math.max(0, load + 1 - slots) * SLOT_WAIT_MILLIS;
+      if (uncached / UpstreamLoad.PREFILL_TOKENS_PER_MILLI > LONG_READ_MILLIS) {
+        wait += STOPPED_STREAM_MILLIS * load;
+      }
     }
     wait *= c.slowness(nowMillis);
     wait += FAILURE_MILLIS * c.failureShare(nowMillis);
--- a/core/src/test/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoiceTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/dispatch/ExpectedWaitChoiceTest.java
@@ -15,7 +15,11 @@
   private static final UpstreamChoice CHOICE = new ExpectedWaitChoice("z");
 
   private static UpstreamLoad upstream(String id) {
-    return new UpstreamLoad(id, "z", 4, 0);
+    return upstream(id, 4);
+  }
+
+  private static UpstreamLoad upstream(String id, int slots) {
+    return new UpstreamLoad(id, "z", slots, 0);
   }
 
   private static Workload prompt(String shared, String own) {
@@ -136,6 +140,22 @@
     assertThat(seenByOther.takeNewParts()).isEmpty();
   }
 
+  /** Pattern: heavy-tailed prompts. Reading one of 30,000 tokens stops all streams of a batch. */
+  @Example
+  void longPromptGoesWhereFewStreamsRun() {
+    UpstreamLoad busy = upstream("a", 64);
+    UpstreamLoad calm = upstream("b", 64);
+    Workload small = prompt("plan-1", "small");
+    for (int i = 0; i < 12; i++) {
+      busy.onSend(small, 0, 0);
+    }
+    calm.onSend(small, 6_000, 0);
+    Workload large = new Workload(30_000, 100, ImmutableList.of(new PromptPart("large", 30_000)));
+    assertThat(choose(List.of(busy, calm), large, 0)).isEqualTo("b");
+    Workload usual = new Workload(6_000, 100, ImmutableList.of(new PromptPart("usual", 6_000)));
+    assertThat(choose(List.of(busy, calm), usual, 0)).isEqualTo("a");
+  }
+
   @Example
   void whatDeadRouterToldIsForgotten() {
     FleetLoad fleet = new FleetLoad();
