--- /dev/null
+++ b/bench/src/main/java/org/goldcrestfall/bench/HttpStackBench.java
@@ -0,0 +1,145 @@
+package org.goldcrestfall.bench;
+
+import com.beust.jcommander.JCommander;
+import com.beust.jcommander.Parameter;
+import com.beust.jcommander.ParameterException;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+
+/**
+ * Measures the processor time that a streamed answer costs in a server process, with Pekko HTTP and
+ * with Netty's codec, in turn and under the flags of a small machine.
+ */
+public final class HttpStackBench {
+
+  private static final byte[] REQUEST =
+      "GET / HTTP/1.1\r\nHost: bench\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+  /** Both stacks end a chunked answer with the chunk of length 0. */
+  private static final byte[] END = "0\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
+
+  @Parameter(names = "--requests", description = "Requests in a round")
+  private int requests = 20_000;
+
+  @Parameter(names = "--events", description = "Chunks in an answer")
+  private int events = 50;
+
+  @Parameter(names = "--pause-millis", description = "Pause between the chunks of an answer")
+  private int pauseMillis = 0;
+
+  @Parameter(names = "--connections", description = "Kept connections")
+  private int connections = 16;
+
+  @Parameter(names = "--rounds", description = "Measured rounds of each stack")
+  private int rounds = 3;
+
+  private HttpStackBench() {}
+
+  /** Runs the benchmark. */
+  public static void main(String[] args) throws Exception {
+    HttpStackBench bench = new HttpStackBench();
+    JCommander commander = JCommander.newBuilder().addObject(bench).build();
+    try {
+      commander.parse(args);
+    } catch (ParameterException e) {
+      System.err.println(e.getMessage());
+      commander.usage();
+      System.exit(2);
+    }
+    bench.run();
+  }
+
+  private void run() throws Exception {
+    for (String stack : List.of("pekko", "netty")) {
+      Process server =
+          new ProcessBuilder(
+                  "java",
+                  "-Xmx150m",
+                  "-Xss256k",
+                  "-XX:+UseSerialGC",
+                  "-XX:TieredStopAtLevel=1",
+                  "-cp",
+                  System.getProperty("java.class.path"),
+                  HttpStackServer.class.getName(),
+                  stack,
+                  Integer.toString(events),
+                  Integer.toString(pauseMillis))
+              .redirectError(ProcessBuilder.Redirect.INHERIT)
+              .start();
+      try (BufferedReader out =
+          new BufferedReader(
+              new InputStreamReader(server.getInputStream(), StandardCharsets.UTF_8))) {
+        int port = Integer.parseInt(out.readLine());
+        load(port);
+        for (int round = 1; round <= rounds; round++) {
+          Duration before = processorTime(server);
+          load(port);
+          Duration used = processorTime(server).minus(before);
+          System.out.printf(
+              "%s, round %d: %.1f us of processor time a request of %d chunks%n",
+              stack, round, used.toNanos() / 1_000.0 / requests, events);
+        }
+      } finally {
+        server.destroy();
+        server.waitFor();
+      }
+    }
+  }
+
+  private static Duration processorTime(Process server) {
+    return server.info().totalCpuDuration().orElseThrow();
+  }
+
+  private void load(int port) throws Exception {
+    ExecutorService clients = Executors.newFixedThreadPool(connections);
+    List<Future<?>> done = new ArrayList<>();
+    for (int i = 0; i < connections; i++) {
+      done.add(
+          clients.submit(
+              () -> {
+                requests(port, requests / connections);
+                return null;
+              }));
+    }
+    for (Future<?> f : done) {
+      f.get();
+    }
+    clients.shutdown();
+  }
+
+  private static void requests(int port, int count) throws IOException {
+    byte[] buffer = new byte[8_192];
+    try (Socket socket = new Socket("127.0.0.1", port)) {
+      socket.setTcpNoDelay(true);
+      InputStream in = socket.getInputStream();
+      for (int i = 0; i < count; i++) {
+        socket.getOutputStream().write(REQUEST);
+        readToEnd(in, buffer);
+      }
+    }
+  }
+
+  private static void readToEnd(InputStream in, byte[] buffer) throws IOException {
+    int matched = 0;
+    while (matched < END.length) {
+      int n = in.read(buffer);
+      if (n < 0) {
+        throw new IOException("the server closed the connection");
+      }
+      for (int i = 0; i < n; i++) {
+        // An event holds no line of a single 0, so the end is not found too early.
+        matched = buffer[i] == END[matched] ? matched + 1 : buffer[i] == END[0] ? 1 : 0;
+      }
+    }
+  }
+}
