Test open groups under all faults, and the promised copies of acknowledgements

The consensus property ran fixed groups only. Groups that three of five hosts form now run under kills, power cuts, two lost disks at once, cuts, freezes and compaction; each acknowledgement is checked to be on three disks, where a disk that is lost and not yet replaced counts as one of the losses that the policy bears: a trace showed acknowledgements right after such a loss, which are allowed.

--- a/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusRulesTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusRulesTest.java
@@ -77,7 +77,7 @@
   void memberVotesOnceInEachTermOverRestarts(@ForAll long seed) {
     Random random = new Random(seed);
     FakeHost host = new FakeHost(0, members("h0#1", "h1#1", "h2#1"));
-    host.start(TIMING, LIMITS, seed, now);
+    host.start(TIMING, GroupPolicy.FIXED, LIMITS, seed, now);
     Map<Long, String> votes = new HashMap<>();
     List<Effect> out = new ArrayList<>();
     for (int i = 0; i < 60; i++) {
@@ -85,7 +85,7 @@
       switch (random.nextInt(4)) {
         case 0 -> {
           host.kill(random.nextInt(2));
-          host.start(TIMING, LIMITS, seed + i, now);
+          host.start(TIMING, GroupPolicy.FIXED, LIMITS, seed + i, now);
           now += TIMING.electionMinMillis();
         }
         case 1 -> {
--- a/core/src/test/java/org/goldcrestfall/core/consensus/FakeGroup.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/FakeGroup.java
@@ -29,17 +29,26 @@
   final Set<Set<Integer>> cutLinks = new HashSet<>();
   final ManualClock clock = new ManualClock(1_000);
   final Random random;
+  private final Set<FakeHost> lostDisks = new HashSet<>();
+  private final GroupPolicy policy;
   private int commands;
 
+  /** A group of fixed hosts. */
   FakeGroup(int count, long seed) {
+    this(count, count, GroupPolicy.FIXED, seed);
+  }
+
+  /** A group that some of the hosts form; the others ask to join. */
+  FakeGroup(int count, int founding, GroupPolicy policy, long seed) {
+    this.policy = policy;
     random = new Random(seed);
     Members founders =
         Members.of(
-            IntStream.range(0, count)
+            IntStream.range(0, founding)
                 .mapToObj(i -> new Member(FakeHost.idOf(i, 1), "h" + i, "address", true))
                 .toList());
     for (int i = 0; i < count; i++) {
-      FakeHost host = new FakeHost(i, founders);
+      FakeHost host = new FakeHost(i, i < founding ? founders : Members.NONE);
       host.clockOffset = random.nextInt(100_000);
       hosts.add(host);
       start(host);
@@ -52,7 +61,7 @@
 
   void start(FakeHost host) {
     if (!host.isLive()) {
-      host.start(TIMING, LIMITS, random.nextLong(), clock.nowMillis());
+      host.start(TIMING, policy, LIMITS, random.nextLong(), clock.nowMillis());
     }
   }
 
@@ -76,9 +85,17 @@
       } else if (effect instanceof Effect.Apply e) {
         seen.applies(e.entry());
         int position = host.apply(e.entry());
-        if (e.proposal() != 0) {
-          seen.acknowledges(e.proposal(), position);
+        if (host.held.containsKey(e.proposal())) {
+          host.held.put(e.proposal(), e.entry());
+          host.positions.put(e.proposal(), position);
+        } else if (e.proposal() != 0) {
+          acknowledge(e.proposal(), e.entry(), position);
         }
+      } else if (effect instanceof Effect.Hold e) {
+        host.held.put(e.proposal(), null);
+      } else if (effect instanceof Effect.Release e) {
+        acknowledge(
+            e.proposal(), host.held.remove(e.proposal()), host.positions.remove(e.proposal()));
       } else if (effect instanceof Effect.Restore e) {
         host.restore(e.snapshot());
       } else if (effect instanceof Effect.ProposalFailed e && !e.unknown()) {
@@ -89,6 +106,18 @@
     }
   }
 
+  /**
+   * Checks that what is acknowledged is on as many disks as the policy promises. A disk that is
+   * lost and not replaced yet is one of the losses that it bears, and may have had the entry.
+   */
+  private void acknowledge(long proposal, Entry entry, int position) {
+    lostDisks.removeIf(this::isRepaired);
+    assertThat(hosts.stream().filter(h -> h.hasOnDisk(entry) || lostDisks.contains(h)).count())
+        .as("disks with the acknowledged entry %s", entry)
+        .isGreaterThanOrEqualTo(policy.copies());
+    seen.acknowledges(proposal, position);
+  }
+
   /** Checks that a leader gives a vote only to a member that holds all that is committed. */
   private void checkNewVoters(FakeHost host, Entry entry) {
     if (host.consensus.role() != Role.LEADER || entry.type() != Entry.Type.MEMBERS) {
@@ -158,13 +187,19 @@
     clock.advance(millis);
     for (FakeHost host : hosts) {
       handle(host, new Event.Tick());
-      if (host.isLive() && host.consensus.members().find(host.id).isEmpty()) {
+      if (asksToJoin(host)) {
         Member self = new Member(host.id, "h" + host.number, "address", false);
         hosts.forEach(to -> flights.add(new Flight(host.number, to.number, null, self)));
       }
     }
   }
 
+  /** In an open group a member without leader asks too: it may have been removed. */
+  private boolean asksToJoin(FakeHost host) {
+    return host.isLive() && host.consensus.members().find(host.id).isEmpty()
+        || policy.open() && host.hasNoLeader();
+  }
+
   /** Lets everything run without faults for a time. */
   void run(long millis) {
     for (long i = 0; i < millis; i += 5) {
@@ -274,6 +309,7 @@
 
   void loseDisk(FakeHost host) {
     host.loseDisk();
+    lostDisks.add(host);
     start(host);
   }
 }
--- a/core/src/test/java/org/goldcrestfall/core/consensus/FakeHost.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/FakeHost.java
@@ -6,15 +6,23 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 
 /** A host with a disk and a list of commands as the state; what is not synced is lost on a kill. */
 final class FakeHost {
 
   final int number;
-  final Members founders;
   final List<String> commands = new ArrayList<>();
   final Deque<Object> unsynced = new ArrayDeque<>();
+
+  /** Applied commands whose replies are held. */
+  final Map<Long, Entry> held = new HashMap<>();
+
+  /** The positions of these commands in the state. */
+  final Map<Long, Integer> positions = new HashMap<>();
+
   long clockOffset;
   String id;
   Consensus consensus;
@@ -27,7 +35,6 @@
 
   FakeHost(int number, Members founders) {
     this.number = number;
-    this.founders = founders;
     id = idOf(number, life);
     snapshot = Snapshot.initial(founders);
   }
@@ -40,14 +47,19 @@
     return Integer.parseInt(id.substring(1, id.indexOf('#')));
   }
 
+  /** Returns whether the host is up but neither leads nor knows a leader. */
+  boolean hasNoLeader() {
+    return isLive() && !frozen && consensus.leader().isEmpty();
+  }
+
   boolean isLive() {
     return consensus != null;
   }
 
-  void start(Timing timing, Limits limits, long seed, long nowMillis) {
+  void start(Timing timing, GroupPolicy policy, Limits limits, long seed, long nowMillis) {
     Stored stored = new Stored(hardState, snapshot, List.copyOf(entries));
     restore(snapshot);
-    consensus = new Consensus(id, stored, timing, limits, seed, nowMillis + clockOffset);
+    consensus = new Consensus(id, stored, timing, policy, limits, seed, nowMillis + clockOffset);
     frozen = false;
   }
 
@@ -57,6 +69,7 @@
       write(unsynced.poll());
     }
     unsynced.clear();
+    held.clear();
     consensus = null;
   }
 
@@ -81,6 +94,11 @@
     return event;
   }
 
+  /** Returns whether an entry is on disk, by itself or in a snapshot. */
+  boolean hasOnDisk(Entry entry) {
+    return snapshot.lastIndex() >= entry.index() || entries.contains(entry);
+  }
+
   /** Returns the index of the last entry that is on disk. */
   long lastOnDisk() {
     return entries.isEmpty() ? snapshot.lastIndex() : entries.get(entries.size() - 1).index();
