--- a/daemon/src/main/java/org/goldcrestfall/daemon/log/BoundedLogHandler.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/log/BoundedLogHandler.java
@@ -24,7 +24,13 @@
   /** Lines are gathered for so long, so that the writer wakes up seldom. */
   private static final long GATHER_MILLIS = 100;
 
-  private static final long CLOSE_MILLIS = 500;
+  /** The end of a process waits so long for its last lines. */
+  private static final long CLOSE_MILLIS = 200;
+
+  private static final long POLL_MILLIS = 500;
+
+  /** Wakes the writer up at the end. */
+  private static final LogRecord END = new LogRecord(Level.OFF, "");
 
   private final PrintStream out;
   private final Formatter formatter;
@@ -51,7 +57,7 @@
     List<LogRecord> batch = new ArrayList<>();
     try {
       while (!closed || !queue.isEmpty()) {
-        LogRecord first = queue.poll(CLOSE_MILLIS, TimeUnit.MILLISECONDS);
+        LogRecord first = queue.poll(POLL_MILLIS, TimeUnit.MILLISECONDS);
         if (first == null) {
           continue;
         }
@@ -75,7 +81,7 @@
       text.append(
           formatter.format(new LogRecord(Level.WARNING, "log: dropped " + lost + " lines")));
     }
-    batch.forEach(r -> text.append(formatter.format(r)));
+    batch.stream().filter(r -> r != END).forEach(r -> text.append(formatter.format(r)));
     out.print(text);
     out.flush();
   }
@@ -89,6 +95,10 @@
   @Override
   public void close() {
     closed = true;
+    if (!queue.offer(END)) {
+      // The queue is full, so the writer is awake.
+      dropped.incrementAndGet();
+    }
     try {
       writer.join(CLOSE_MILLIS);
     } catch (InterruptedException e) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/log/LogSetup.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/log/LogSetup.java
@@ -39,14 +39,24 @@
     Logger own = Logger.getLogger("org.goldcrestfall");
     own.setLevel(l);
     KEEP[0] = own;
+    installed = h;
     if (LogManager.getLogManager() instanceof DrainingLogManager m) {
       m.markInstalled();
     }
   }
 
+  /** Writes what is queued, at the end of the process. */
+  public static void close() {
+    if (installed != null) {
+      installed.close();
+    }
+  }
+
   // The log manager holds loggers weakly; without this reference the level would be lost.
   private static final Logger[] KEEP = new Logger[1];
 
+  private static volatile Handler installed;
+
   private static final class FlushingHandler extends StreamHandler {
 
     FlushingHandler(OutputStream out, Formatter formatter) {
