--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerAnswer.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerAnswer.java
@@ -27,6 +27,8 @@
   private EventScanner scanner;
   private boolean begun;
   private long firstByteAt = -1;
+  private long lastPartAt;
+  private long longestPauseMillis;
 
   CallerAnswer(Gateway gateway, ClientConnection client, CallerRequest request) {
     this.gateway = gateway;
@@ -59,11 +61,19 @@
     return firstByteAt;
   }
 
-  /** Notes the time of the first part of the answer. */
-  void noteFirstByte() {
+  /** Returns the longest time between two parts of the answer. */
+  long longestPauseMillis() {
+    return longestPauseMillis;
+  }
+
+  private void notePart() {
+    long now = gateway.now();
     if (firstByteAt < 0) {
-      firstByteAt = gateway.now();
+      firstByteAt = now;
+    } else {
+      longestPauseMillis = Math.max(longestPauseMillis, now - lastPartAt);
     }
+    lastPartAt = now;
   }
 
   // ---------------------------------------------------------------- streams
@@ -89,7 +99,7 @@
 
   /** Passes whole events on; the caller of this method keeps {@code bytes}. */
   void passEvents(ByteBuf bytes) {
-    noteFirstByte();
+    notePart();
     ByteBuf whole = scanner.feed(bytes, client.channel().alloc());
     if (!whole.isReadable()) {
       whole.release();
@@ -117,7 +127,7 @@
 
   /** Passes a part of a long answer on; takes over {@code bytes}. */
   void passPart(HttpResponse head, ByteBuf bytes) {
-    noteFirstByte();
+    notePart();
     if (!begun) {
       HttpResponse out = copyOf(head);
       HttpUtil.setTransferEncodingChunked(out, true);
@@ -133,7 +143,7 @@
 
   /** Writes a whole answer; takes over {@code bytes}. */
   void writeWhole(HttpResponse head, CompositeByteBuf bytes) {
-    noteFirstByte();
+    notePart();
     var out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), bytes);
     HopHeaders.copy(head.headers(), out.headers(), Set.of());
     out.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -416,7 +416,7 @@
     long now = gateway.now();
     logger.atInfo().log(
         "request: %s %s after %s ms: route %s, workspace %s, upstreams %s, %s sends, read in %s ms,"
-            + " tokens in %s ms, first byte after %s ms",
+            + " tokens in %s ms, first byte after %s ms, longest pause %s ms",
         id,
         outcome,
         now - startedAt,
@@ -426,7 +426,8 @@
         attempts,
         readAt - startedAt,
         tokensAt < 0 ? -1 : tokensAt - readAt,
-        answer.firstByteAt() < 0 ? -1 : answer.firstByteAt() - startedAt);
+        answer.firstByteAt() < 0 ? -1 : answer.firstByteAt() - startedAt,
+        answer.longestPauseMillis());
   }
 
   private String kindName() {
