--- a/core/src/test/java/org/goldcrestfall/core/consensus/FakeGroup.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/FakeGroup.java
@@ -85,17 +85,14 @@
       } else if (effect instanceof Effect.Apply e) {
         seen.applies(e.entry());
         int position = host.apply(e.entry());
-        if (host.held.containsKey(e.proposal())) {
-          host.held.put(e.proposal(), e.entry());
-          host.positions.put(e.proposal(), position);
-        } else if (e.proposal() != 0) {
-          acknowledge(e.proposal(), e.entry(), position);
+        FakeHost.Applied applied = new FakeHost.Applied(e.entry(), position);
+        if (host.held.replace(e.proposal(), applied) == null && e.proposal() != 0) {
+          acknowledge(e.proposal(), applied);
         }
       } else if (effect instanceof Effect.Hold e) {
-        host.held.put(e.proposal(), null);
+        host.held.put(e.proposal(), FakeHost.Applied.SOON);
       } else if (effect instanceof Effect.Release e) {
-        acknowledge(
-            e.proposal(), host.held.remove(e.proposal()), host.positions.remove(e.proposal()));
+        acknowledge(e.proposal(), host.held.remove(e.proposal()));
       } else if (effect instanceof Effect.Restore e) {
         host.restore(e.snapshot());
       } else if (effect instanceof Effect.ProposalFailed e && !e.unknown()) {
@@ -110,12 +107,13 @@
    * Checks that what is acknowledged is on as many disks as the policy promises. A disk that is
    * lost and not replaced yet is one of the losses that it bears, and may have had the entry.
    */
-  private void acknowledge(long proposal, Entry entry, int position) {
+  private void acknowledge(long proposal, FakeHost.Applied applied) {
     lostDisks.removeIf(this::isRepaired);
+    Entry entry = applied.entry();
     assertThat(hosts.stream().filter(h -> h.hasOnDisk(entry) || lostDisks.contains(h)).count())
         .as("disks with the acknowledged entry %s", entry)
         .isGreaterThanOrEqualTo(policy.copies());
-    seen.acknowledges(proposal, position);
+    seen.acknowledges(proposal, applied.position());
   }
 
   /** Checks that a leader gives a vote only to a member that holds all that is committed. */
--- a/core/src/test/java/org/goldcrestfall/core/consensus/FakeHost.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/FakeHost.java
@@ -13,15 +13,19 @@
 /** A host with a disk and a list of commands as the state; what is not synced is lost on a kill. */
 final class FakeHost {
 
+  /** An applied command and its position in the state. */
+  record Applied(Entry entry, int position) {
+
+    /** Stands for a command that is about to be applied. */
+    static final Applied SOON = new Applied(null, 0);
+  }
+
   final int number;
   final List<String> commands = new ArrayList<>();
   final Deque<Object> unsynced = new ArrayDeque<>();
 
-  /** Applied commands whose replies are held. */
-  final Map<Long, Entry> held = new HashMap<>();
-
-  /** The positions of these commands in the state. */
-  final Map<Long, Integer> positions = new HashMap<>();
+  /** Proposals whose replies are held. */
+  final Map<Long, Applied> held = new HashMap<>();
 
   long clockOffset;
   String id;
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -137,6 +137,18 @@
     }
   }
 
+  /** An upstream may answer early and read the rest of a body later, on the same connection. */
+  @Example
+  void earlyAnswerIsPassedOnAndTheRestOfTheBodyStaysWhole() throws Exception {
+    ScriptedUpstream u = fixture.earlyUpstream("u1", c -> c.reply(200, SIGNED, "early"));
+    String first = "a".repeat(400_000);
+    String second = "b".repeat(400_000);
+    assertThat(fixture.call("POST", "/unsafe/a", "", first)).endsWith("early");
+    assertThat(fixture.call("POST", "/unsafe/b", "", second)).endsWith("early");
+    GatewayFixture.await(() -> u.calls.size() == 2);
+    assertThat(u.calls).extracting(ScriptedUpstream.Call::body).contains(first, second);
+  }
+
   @Example
   void truncatedAnswerIsFailure() throws Exception {
     fixture.upstream(
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/ScriptedUpstream.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/ScriptedUpstream.java
@@ -55,9 +55,16 @@
   final List<Socket> closedByPeer = new CopyOnWriteArrayList<>();
   private final ServerSocket server;
   private final Script script;
-
-  ScriptedUpstream(Script script) throws IOException {
+  private final boolean early;
+
+  /**
+   * Starts the upstream.
+   *
+   * @param early whether the script answers before the body of a request is read
+   */
+  ScriptedUpstream(Script script, boolean early) throws IOException {
     this.script = script;
+    this.early = early;
     server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
     Thread t = new Thread(this::accept, "scripted-upstream");
     t.setDaemon(true);
@@ -104,11 +111,16 @@
           return;
         }
         Call headOnly = new Call(head, "", socket);
+        if (early) {
+          script.answer(headOnly);
+        }
         String length = headOnly.header("content-length");
         byte[] body = in.readNBytes(length.isEmpty() ? 0 : Integer.parseInt(length));
         Call call = new Call(head, new String(body, ISO_8859_1), socket);
         calls.add(call);
-        script.answer(call);
+        if (!early) {
+          script.answer(call);
+        }
       }
     } catch (Exception e) {
       closedByPeer.add(socket);
