--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -122,15 +122,15 @@
   }
 
   ScriptedUpstream upstream(String id, ScriptedUpstream.Script script) throws Exception {
-    return upstream(id, new ScriptedUpstream(script, false));
+    return add(id, new ScriptedUpstream(script, false));
   }
 
   /** Adds an upstream that answers before it has read the body of a request. */
   ScriptedUpstream earlyUpstream(String id, ScriptedUpstream.Script script) throws Exception {
-    return upstream(id, new ScriptedUpstream(script, true));
+    return add(id, new ScriptedUpstream(script, true));
   }
 
-  private ScriptedUpstream upstream(String id, ScriptedUpstream u) throws Exception {
+  private ScriptedUpstream add(String id, ScriptedUpstream u) throws Exception {
     upstreams.add(u);
     var entry = new UpstreamEntry(id, "s", u.address(), "z", UpstreamState.READY, 4, 1, 1, 0);
     onLoop(() -> gateway.upstreamChanged(entry));
