Share the faults of the consensus tests, the waits of the daemon's tests and the options of the benchmarks

OpenGroupPropertyTest had written the faults, the bound on lost disks and the end of all faults again that ConsensusPropertyTest and FakeGroup had; they are FakeGroup.runWithFaults, canLoseDisk and endFaults now. The open groups get all kinds of faults by that, also a leader that is cut off; the fixed groups draw the same as before from their seeds. Four loops that waited for a condition are Await, each with its own limit as before, and HttpStackBench parses its options with BenchOptions. No shipped source is touched.

--- a/bench/src/main/java/org/goldcrestfall/bench/BenchOptions.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/BenchOptions.java
@@ -30,6 +30,12 @@
   static BenchOptions parse(String name, String[] args) {
     Logger.getLogger("").setLevel(Level.SEVERE);
     BenchOptions options = new BenchOptions();
+    parse(name, options, args);
+    return options;
+  }
+
+  /** Parses the arguments into the fields of an object; ends the process if they cannot be used. */
+  static void parse(String name, Object options, String[] args) {
     JCommander commander = JCommander.newBuilder().programName(name).addObject(options).build();
     try {
       commander.parse(args);
@@ -38,7 +44,6 @@
       commander.usage();
       System.exit(2);
     }
-    return options;
   }
 
   Path newFolder() throws IOException {
--- a/bench/src/main/java/org/goldcrestfall/bench/HttpStackBench.java
+++ b/bench/src/main/java/org/goldcrestfall/bench/HttpStackBench.java
@@ -1,8 +1,6 @@
 package org.goldcrestfall.bench;
 
-import com.beust.jcommander.JCommander;
 import com.beust.jcommander.Parameter;
-import com.beust.jcommander.ParameterException;
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.io.InputStream;
@@ -48,14 +46,7 @@
   /** Runs the benchmark. */
   public static void main(String[] args) throws Exception {
     HttpStackBench bench = new HttpStackBench();
-    JCommander commander = JCommander.newBuilder().addObject(bench).build();
-    try {
-      commander.parse(args);
-    } catch (ParameterException e) {
-      System.err.println(e.getMessage());
-      commander.usage();
-      System.exit(2);
-    }
+    BenchOptions.parse("http", bench, args);
     bench.run();
   }
 
--- a/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusPropertyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusPropertyTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
@@ -18,69 +17,18 @@
 
   @Property(tries = 100, seed = "3101", shrinking = ShrinkingMode.OFF)
   void threeMembersUnderAllFaults(@ForAll long seed) {
-    runWithFaults(new FakeGroup(3, seed));
+    FakeGroup group = new FakeGroup(3, seed);
+    group.runWithFaults(FAULTS);
+    group.recover();
   }
 
   @Property(tries = 50, seed = "5101", shrinking = ShrinkingMode.OFF)
   void fiveMembersUnderAllFaults(@ForAll long seed) {
-    runWithFaults(new FakeGroup(5, seed));
-  }
-
-  private static void runWithFaults(FakeGroup group) {
-    Random random = group.random;
-    for (int i = 0; i < FAULTS; i++) {
-      fault(group, group.anyHost());
-      group.runRoughly(random.nextInt(random.nextInt(4) == 0 ? 600 : 60));
-    }
+    FakeGroup group = new FakeGroup(5, seed);
+    group.runWithFaults(FAULTS);
     group.recover();
   }
 
-  private static void fault(FakeGroup group, FakeHost host) {
-    Random random = group.random;
-    switch (random.nextInt(12)) {
-      case 0, 1 -> {
-        if (host.isLive()) {
-          host.kill(random.nextInt(3));
-        }
-      }
-      case 2 -> {
-        // A power cut takes all hosts at once.
-        if (random.nextInt(4) == 0) {
-          group.hosts.stream().filter(FakeHost::isLive).forEach(h -> h.kill(random.nextInt(3)));
-        }
-      }
-      case 3 -> {
-        if (group.canLoseDisk(host)) {
-          group.loseDisk(host);
-        }
-      }
-      case 4 -> {
-        group.cutOff.clear();
-        group.hosts.stream()
-            .filter(h -> random.nextInt(3) == 0)
-            .forEach(h -> group.cutOff.add(h.number));
-      }
-      case 5 -> {
-        if (group.leader() != null) {
-          group.cutOff.add(group.leader().number);
-        }
-      }
-      case 6 -> group.heal();
-      case 7 -> {
-        if (group.leader() != null) {
-          group.cutLink(group.leader(), host);
-        }
-      }
-      case 8 -> host.frozen = true;
-      case 9 -> group.hosts.forEach(h -> h.frozen = false);
-      case 10 -> group.compact(host);
-      default -> group.hosts.forEach(group::start);
-    }
-    if (random.nextInt(3) == 0) {
-      group.hosts.forEach(group::start);
-    }
-  }
-
   /** Guards against a learner that gets its vote before it holds all that was acknowledged. */
   @Property(tries = 60, seed = "3201", shrinking = ShrinkingMode.OFF)
   void disksLostOneRightAfterTheRepairOfAnother(@ForAll long seed) {
--- a/core/src/test/java/org/goldcrestfall/core/consensus/FakeGroup.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/FakeGroup.java
@@ -248,6 +248,57 @@
     }
   }
 
+  /** Runs roughly, with faults of all kinds between. */
+  void runWithFaults(int count) {
+    for (int i = 0; i < count; i++) {
+      fault(anyHost());
+      runRoughly(random.nextInt(random.nextInt(4) == 0 ? 600 : 60));
+    }
+  }
+
+  private void fault(FakeHost host) {
+    switch (random.nextInt(12)) {
+      case 0, 1 -> {
+        if (host.isLive()) {
+          host.kill(random.nextInt(3));
+        }
+      }
+      case 2 -> {
+        // A power cut takes all hosts at once.
+        if (random.nextInt(4) == 0) {
+          hosts.stream().filter(FakeHost::isLive).forEach(h -> h.kill(random.nextInt(3)));
+        }
+      }
+      case 3 -> {
+        if (canLoseDisk(host)) {
+          loseDisk(host);
+        }
+      }
+      case 4 -> {
+        cutOff.clear();
+        hosts.stream().filter(h -> random.nextInt(3) == 0).forEach(h -> cutOff.add(h.number));
+      }
+      case 5 -> {
+        if (leader() != null) {
+          cutOff.add(leader().number);
+        }
+      }
+      case 6 -> heal();
+      case 7 -> {
+        if (leader() != null) {
+          cutLink(leader(), host);
+        }
+      }
+      case 8 -> host.frozen = true;
+      case 9 -> hosts.forEach(h -> h.frozen = false);
+      case 10 -> compact(host);
+      default -> hosts.forEach(this::start);
+    }
+    if (random.nextInt(3) == 0) {
+      hosts.forEach(this::start);
+    }
+  }
+
   /** Cuts the link between two hosts that others still reach. */
   void cutLink(FakeHost a, FakeHost b) {
     if (a != b) {
@@ -260,11 +311,15 @@
     cutLinks.clear();
   }
 
-  /** Ends all faults, and checks that the group works again and has lost nothing. */
-  void recover() {
+  void endFaults() {
     heal();
     hosts.forEach(h -> h.frozen = false);
     hosts.forEach(this::start);
+  }
+
+  /** Ends all faults, and checks that the group works again and has lost nothing. */
+  void recover() {
+    endFaults();
     int replies = seen.replies;
     int reads = seen.reads;
     for (int i = 0; i < 200 && (replies == seen.replies || reads == seen.reads); i++) {
--- a/core/src/test/java/org/goldcrestfall/core/consensus/OpenGroupPropertyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/OpenGroupPropertyTest.java
@@ -5,7 +5,6 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
-import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
@@ -32,70 +31,19 @@
     assertThat(group.hosts).as("hosts with a vote").allMatch(group::isRepaired);
   }
 
-  /** Returns whether the disk of one more host may be lost. */
-  private static boolean canLoseDisk(FakeGroup group, FakeHost host) {
-    long lost = group.hosts.stream().filter(h -> h != host && !group.isRepaired(h)).count();
-    return lost < LOST_DISKS;
-  }
-
   @Property(tries = 40, seed = "7101", shrinking = ShrinkingMode.OFF)
   void openGroupUnderAllFaults(@ForAll long seed) {
     FakeGroup group = open(seed);
-    Random random = group.random;
-    for (int i = 0; i < FAULTS; i++) {
-      fault(group, group.anyHost());
-      group.runRoughly(random.nextInt(random.nextInt(4) == 0 ? 600 : 60));
-    }
+    group.runWithFaults(FAULTS);
     awaitRecovery(group);
   }
 
   private static void awaitRecovery(FakeGroup group) {
-    group.heal();
-    group.hosts.forEach(h -> h.frozen = false);
-    group.hosts.forEach(group::start);
+    group.endFaults();
     awaitGrowth(group);
     group.recover();
   }
 
-  private static void fault(FakeGroup group, FakeHost host) {
-    Random random = group.random;
-    switch (random.nextInt(9)) {
-      case 0 -> {
-        if (host.isLive()) {
-          host.kill(random.nextInt(3));
-        }
-      }
-      case 1 -> {
-        if (random.nextInt(4) == 0) {
-          group.hosts.stream().filter(FakeHost::isLive).forEach(h -> h.kill(random.nextInt(3)));
-        }
-      }
-      case 2 -> {
-        if (canLoseDisk(group, host)) {
-          group.loseDisk(host);
-        }
-      }
-      case 3 -> {
-        group.cutOff.clear();
-        group.hosts.stream()
-            .filter(h -> random.nextInt(3) == 0)
-            .forEach(h -> group.cutOff.add(h.number));
-      }
-      case 4 -> {
-        if (group.leader() != null) {
-          group.cutLink(group.leader(), host);
-        }
-      }
-      case 5 -> host.frozen = true;
-      case 6 -> group.hosts.forEach(h -> h.frozen = false);
-      case 7 -> group.compact(host);
-      default -> group.heal();
-    }
-    if (random.nextInt(3) == 0) {
-      group.hosts.forEach(group::start);
-    }
-  }
-
   /** The users' platform takes two disks within milliseconds of an acknowledgement. */
   @Property(tries = 60, seed = "7201", shrinking = ShrinkingMode.OFF)
   void twoDisksLostRightAfterAnAcknowledgement(@ForAll long seed) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
@@ -20,6 +20,7 @@
 import org.goldcrestfall.core.consensus.GroupPolicy;
 import org.goldcrestfall.core.consensus.Role;
 import org.goldcrestfall.core.consensus.Timing;
+import org.goldcrestfall.daemon.Await;
 import org.goldcrestfall.daemon.storage.Disk;
 import org.goldcrestfall.daemon.storage.FolderDisk;
 import org.goldcrestfall.wire.PeerTransport;
@@ -172,17 +173,7 @@
   }
 
   static void await(BooleanSupplier condition) {
-    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
-    while (!condition.getAsBoolean()) {
-      if (System.nanoTime() > end) {
-        throw new AssertionError("the condition did not hold in " + LIMIT_SECONDS + " s");
-      }
-      try {
-        Thread.sleep(5);
-      } catch (InterruptedException e) {
-        throw new AssertionError(e);
-      }
-    }
+    Await.await(condition, LIMIT_SECONDS);
   }
 
   boolean isLeader(String host) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -30,6 +30,7 @@
 import org.goldcrestfall.core.gateway.WorkspaceSettings;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamState;
+import org.goldcrestfall.daemon.Await;
 import org.goldcrestfall.daemon.site.PrepaidTokens;
 import org.goldcrestfall.daemon.site.SiteClient;
 import org.goldcrestfall.wire.NettyPeerTransport;
@@ -173,14 +174,8 @@
     return new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
   }
 
-  static void await(BooleanSupplier condition) throws InterruptedException {
-    for (int i = 0; i < LIMIT_SECONDS * 100; i++) {
-      if (condition.getAsBoolean()) {
-        return;
-      }
-      Thread.sleep(10);
-    }
-    throw new AssertionError("the condition did not hold in " + LIMIT_SECONDS + " s");
+  static void await(BooleanSupplier condition) {
+    Await.await(condition, LIMIT_SECONDS);
   }
 
   @Override
--- a/daemon/src/test/java/org/goldcrestfall/daemon/peer/PeerServiceTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/peer/PeerServiceTest.java
@@ -20,12 +20,15 @@
 import org.goldcrestfall.core.membership.Member;
 import org.goldcrestfall.core.membership.UpstreamAnnouncement;
 import org.goldcrestfall.core.membership.UpstreamEntry;
+import org.goldcrestfall.daemon.Await;
 import org.goldcrestfall.wire.NettyPeerTransport;
 import org.goldcrestfall.wire.PeerSettings;
 import org.goldcrestfall.wire.TransportListener;
 
 class PeerServiceTest {
 
+  private static final int LIMIT_SECONDS = 30;
+
   private final List<AutoCloseable> opened = new ArrayList<>();
   private final MillisClock clock = MillisClock.monotonic();
   private volatile ConfigView source = ConfigView.EMPTY;
@@ -57,11 +60,8 @@
     return new Daemon(service, transport);
   }
 
-  private static void await(BooleanSupplier condition) throws InterruptedException {
-    for (int i = 0; i < 600 && !condition.getAsBoolean(); i++) {
-      Thread.sleep(50);
-    }
-    assertThat(condition.getAsBoolean()).isTrue();
+  private static void await(BooleanSupplier condition) {
+    Await.await(condition, LIMIT_SECONDS);
   }
 
   private static ConfigView revision(long revision) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -29,6 +29,7 @@
 import org.goldcrestfall.core.gateway.InvalidConfigurationException;
 import org.goldcrestfall.core.gateway.WorkspaceSettings;
 import org.goldcrestfall.core.registry.UpstreamEntry;
+import org.goldcrestfall.daemon.Await;
 import org.goldcrestfall.daemon.control.ControlGroup;
 import org.goldcrestfall.daemon.control.ControlSettings;
 import org.goldcrestfall.daemon.storage.FolderDisk;
@@ -201,14 +202,8 @@
   }
 
   /** Waits for a condition. */
-  public static void await(BooleanSupplier condition) throws InterruptedException {
-    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(LIMIT_SECONDS);
-    while (!condition.getAsBoolean()) {
-      if (System.nanoTime() > end) {
-        throw new AssertionError("the condition did not hold in " + LIMIT_SECONDS + " s");
-      }
-      Thread.sleep(10);
-    }
+  public static void await(BooleanSupplier condition) {
+    Await.await(condition, LIMIT_SECONDS);
   }
 
   @Override
