Log the prompt parts and events of failed attempts

The log of a failed attempt told neither its prompt parts nor how many events had arrived, so repeats, new requests and overload looked the same. It tells both now.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -48,6 +48,7 @@
   private final boolean resumable;
   private final Listener listener;
   private final long sentAtMillis;
+  private final long eventsBefore;
   private final long uncachedTokens;
   private final double expectedFirstByteMillis;
   private long firstByteAtMillis = -1;
@@ -73,6 +74,7 @@
     this.listener = listener;
     upstream = connection.upstream();
     sentAtMillis = gateway.now();
+    eventsBefore = callerResponse.events();
     UpstreamLoad load = upstream.load();
     uncachedTokens = load.uncachedTokens(requestSize);
     expectedFirstByteMillis = load.expectedFirstByteMillis(requestSize);
@@ -92,6 +94,11 @@
     return gateway.now() - sentAtMillis;
   }
 
+  /** Returns the number of complete events that this attempt has forwarded. */
+  long events() {
+    return callerResponse.events() - eventsBefore;
+  }
+
   /** Publishes the load of an engine to other routers; plain services do not batch requests. */
   private void publishLoad() {
     if (requestSize.promptTokens() > 0) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -1,6 +1,7 @@
 package org.goldcrestfall.daemon.gateway;
 
 import com.google.common.flogger.FluentLogger;
+import com.google.common.flogger.LazyArgs;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -14,7 +15,9 @@
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.Collectors;
 import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.dispatch.PromptPart;
 import org.goldcrestfall.core.dispatch.RequestSize;
 import org.goldcrestfall.core.dispatch.UpstreamLoad;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
@@ -42,6 +45,9 @@
   /** Minimum Retry-After of a refusal for lack of capacity; jitter adds up to as much again. */
   private static final long RETRY_AFTER_MILLIS = 400;
 
+  /** Number of prompt parts that are logged for a failed attempt. */
+  private static final int MAX_LOGGED_PARTS = 8;
+
   /** The least urgent rank that engines accept. */
   private static final int MAX_ENGINE_RANK = 9;
 
@@ -326,8 +332,13 @@
   public void onFailure(Attempt attempt, String reason) {
     currentAttempt = null;
     logger.atInfo().log(
-        "request: %s failed at %s after %s ms: %s",
-        id, attempt.upstream().entry().id(), attempt.ageMillis(), reason);
+        "request: %s failed at %s after %s ms and %s events, shared parts %s: %s",
+        id,
+        attempt.upstream().entry().id(),
+        attempt.ageMillis(),
+        attempt.events(),
+        LazyArgs.lazy(this::describeSharedParts),
+        reason);
     callerResponse.discardIncompleteEvent();
     boolean resumes = callerResponse.isCommitted() && callerResponse.isStream();
     if (route.isRepeatable() && (resumes || !callerResponse.isCommitted()) && tryRetry()) {
@@ -339,6 +350,13 @@
     }
   }
 
+  private String describeSharedParts() {
+    return requestSize.sharedParts().stream()
+        .limit(MAX_LOGGED_PARTS)
+        .map(PromptPart::id)
+        .collect(Collectors.joining(" ", "[", "]"));
+  }
+
   /** Sends an error response to a request that has not run and will not run. */
   private void refuse(ErrorKind kind, String message, long retryAfterMillis) {
     if (done) {
