Refuse prompts with a part under which upstreams crashed

Cause: a crash was charged to the upstream alone. Requests with one shared part crash each engine that begins to answer them; nothing compared what the requests that were lost in crashes had in common. Class: poison message.

Change: routers report the requests that were lost in a crash before their answers had begun, if the upstream refuses connections afterwards. The reports are entries of the site's log. The shared parts are suspect until an answer begins with them; a part with three crashes is refused for ten minutes, on all routers, also after restarts. A request is not repeated if another upstream crashed under its suspect part. Simultaneous crashes of three upstreams blame no part.

--- a/core/src/main/java/org/goldcrestfall/core/common/ErrorKind.java
+++ b/core/src/main/java/org/goldcrestfall/core/common/ErrorKind.java
@@ -38,6 +38,8 @@
    * available.
    */
   BUDGET_UNAVAILABLE(503, NOT_RUN, true),
+  /** The prompt has a part under which upstreams crashed. */
+  PROMPT_QUARANTINED(503, NOT_RUN, true),
   UPSTREAM_FAILED(502, RAN, true),
   DEADLINE_EXCEEDED(504, RAN, true),
   BOOKING_IN_PROGRESS(409, UNKNOWN_OUTCOME, true),
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
+import org.goldcrestfall.core.quarantine.CrashReport;
+import org.goldcrestfall.core.quarantine.ServicePart;
 
 /** A command in the replicated log of a site. */
 public sealed interface SiteCommand {
@@ -21,4 +23,12 @@
   record RenewAllotments(
       String router, long number, IncarnationTimes times, List<PrepaidLedger.Demand> demands)
       implements SiteCommand {}
+
+  /**
+   * Reports requests that were lost in crashes of upstreams, and parts with which answers began.
+   *
+   * @param sentAtMillis the router's time in milliseconds since the epoch
+   */
+  record ReportCrashes(List<CrashReport> lost, List<ServicePart> answered, long sentAtMillis)
+      implements SiteCommand {}
 }
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
@@ -3,6 +3,9 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
+import org.goldcrestfall.core.quarantine.CrashReport;
+import org.goldcrestfall.core.quarantine.PartQuarantine;
+import org.goldcrestfall.core.quarantine.QuarantineView;
 
 /** The replicated state machine of a site. It is deterministic and not thread-safe. */
 public final class SiteState {
@@ -24,7 +27,9 @@
   public record Reply(long version, List<PrepaidLedger.Allotment> allotments) {}
 
   private final PrepaidLedger ledger = new PrepaidLedger();
+  private final PartQuarantine quarantine = new PartQuarantine();
   private StoredConfiguration configuration = StoredConfiguration.NONE;
+  private QuarantineView quarantineView = QuarantineView.EMPTY;
 
   /** Applies the command at a log index and returns the reply. */
   public Reply apply(long index, SiteCommand command) {
@@ -35,6 +40,12 @@
       }
       return new Reply(configuration.version(), List.of());
     }
+    if (command instanceof SiteCommand.ReportCrashes c) {
+      if (quarantine.update(c.lost(), c.answered(), c.sentAtMillis())) {
+        quarantineView = QuarantineView.of(index, quarantine.suspects());
+      }
+      return new Reply(configuration.version(), List.of());
+    }
     SiteCommand.RenewAllotments c = (SiteCommand.RenewAllotments) command;
     return new Reply(
         configuration.version(), ledger.renew(c.router(), c.number(), c.times(), c.demands()));
@@ -45,6 +56,16 @@
     return configuration;
   }
 
+  /** Returns the prompt parts under which upstreams have crashed. */
+  public QuarantineView quarantine() {
+    return quarantineView;
+  }
+
+  /** Returns the reports of lost requests, for a snapshot. */
+  public List<CrashReport> crashReports() {
+    return quarantine.reports();
+  }
+
   /** Returns the number of prepaid tokens of a workspace that no router holds. */
   public long available(String workspace) {
     return ledger.available(workspace);
@@ -64,9 +85,14 @@
 
   /** Replaces the state by that of a snapshot. */
   public void restore(
-      StoredConfiguration stored, List<PrepaidLedger.IncarnationTotals> allotments) {
+      StoredConfiguration stored,
+      List<PrepaidLedger.IncarnationTotals> allotments,
+      List<CrashReport> crashReports,
+      QuarantineView suspects) {
     configuration = stored;
     ledger.setTotals(stored.totals());
     ledger.restore(allotments);
+    quarantine.restore(crashReports, suspects.parts().values().asList());
+    quarantineView = suspects;
   }
 }
--- a/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
@@ -2,11 +2,13 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import net.jqwik.api.Example;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
+import org.goldcrestfall.core.quarantine.CrashReport;
 
 /**
  * Guards against configurations that go back to an older version, and against prepaid totals that
@@ -58,9 +60,35 @@
     var demand = List.of(new PrepaidLedger.Demand("w", 0, 0, 0, 20, 0, 0, 0));
     state.apply(2, new SiteCommand.RenewAllotments("r", 1, TIMES, demand));
     SiteState restored = new SiteState();
-    restored.restore(state.configuration(), state.allotments());
+    restored.restore(
+        state.configuration(), state.allotments(), state.crashReports(), state.quarantine());
     var reply = restored.apply(3, new SiteCommand.RenewAllotments("r", 1, TIMES, demand));
     assertThat(reply.allotments().get(0).grantedTotal()).isEqualTo(20);
     assertThat(reply.allotments().get(0).available()).isEqualTo(80);
   }
+
+  /** Guards against prompts that crash upstreams again after all control daemons have restarted. */
+  @Example
+  void restoredStateKeepsTheQuarantineAndTheCrashesThatLeadToIt() {
+    SiteState state = new SiteState();
+    for (int u = 1; u <= 3; u++) {
+      state.apply(u, crash("u" + u, u * 1_000, "bad"));
+    }
+    state.apply(4, crash("u4", 4_000, "other"));
+    state.apply(5, crash("u5", 5_000, "other"));
+    SiteState restored = new SiteState();
+    restored.restore(
+        state.configuration(), state.allotments(), state.crashReports(), state.quarantine());
+    assertThat(restored.quarantine()).isEqualTo(state.quarantine());
+    state.apply(6, crash("u6", 6_000, "other"));
+    restored.apply(6, crash("u6", 6_000, "other"));
+    assertThat(restored.quarantine()).isEqualTo(state.quarantine());
+    assertThat(restored.quarantine().index()).isEqualTo(6);
+  }
+
+  private static SiteCommand crash(String upstream, long atMillis, String part) {
+    var report =
+        new CrashReport("s", upstream, 1, "on " + upstream, ImmutableList.of(part), atMillis);
+    return new SiteCommand.ReportCrashes(List.of(report), List.of(), atMillis);
+  }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -191,7 +191,12 @@
   public void onBody(ByteBuf bytes) {
     recordFirstByte();
     if (bufferedBody == null) {
-      if (!callerResponse.forwardEvents(bytes)) {
+      boolean begins = events() == 0;
+      boolean accepted = callerResponse.forwardEvents(bytes);
+      if (begins && events() > 0) {
+        gateway.quarantine().onAnswerBegun(upstream, requestSize);
+      }
+      if (!accepted) {
         rejectResponse("an event is longer than " + EventScanner.MAX_EVENT_BYTES + " bytes");
       }
       return;
@@ -230,6 +235,9 @@
       listener.onForwarded(this);
       return;
     }
+    if (head.status().code() / 100 == 2) {
+      gateway.quarantine().onAnswerBegun(upstream, requestSize);
+    }
     CompositeByteBuf body = bufferedBody;
     bufferedBody = null;
     recordEnd();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -113,7 +114,26 @@
       return;
     }
     requestSize = size.get();
-    reserveTokens();
+    if (!endIfQuarantined()) {
+      reserveTokens();
+    }
+  }
+
+  /** Ends a request whose prompt has a part in quarantine, and returns whether it did. */
+  private boolean endIfQuarantined() {
+    OptionalLong quarantineMillis = gateway.quarantine().quarantineMillis(service, requestSize);
+    if (quarantineMillis.isEmpty()) {
+      return false;
+    }
+    if (callerResponse.isCommitted() || mayHaveRun()) {
+      onNoUpstream();
+    } else {
+      refuse(
+          ErrorKind.PROMPT_QUARANTINED,
+          "Upstreams crashed under a part of the prompt.",
+          quarantineMillis.getAsLong());
+    }
+    return true;
   }
 
   private boolean authenticate(GatewayConfiguration configuration) {
@@ -161,7 +181,7 @@
    * @param retryReason why the request is sent again, or an empty string for the first attempt
    */
   private void dispatch(String retryReason) {
-    if (done) {
+    if (done || endIfQuarantined()) {
       return;
     }
     Optional<Upstream> selected = selectUpstream();
@@ -340,8 +360,16 @@
         LazyArgs.lazy(this::describeSharedParts),
         reason);
     callerResponse.discardIncompleteEvent();
+    if (attempt.events() == 0) {
+      gateway.quarantine().onRequestLost(attempt.upstream(), id, requestSize);
+    }
     boolean resumes = callerResponse.isCommitted() && callerResponse.isStream();
-    if (route.isRepeatable() && (resumes || !callerResponse.isCommitted()) && tryRetry()) {
+    boolean mayCrashNext =
+        !resumes && gateway.quarantine().hasCrashedOther(attempt.upstream(), requestSize);
+    if (route.isRepeatable()
+        && !mayCrashNext
+        && (resumes || !callerResponse.isCommitted())
+        && tryRetry()) {
       dispatch(resumes ? "resumed" : "broken");
     } else if (callerResponse.isCommitted()) {
       abort(reason);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -12,8 +12,10 @@
 import org.goldcrestfall.core.dispatch.UpstreamSelector;
 import org.goldcrestfall.core.gateway.ClientLimits;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
+import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.retry.RetryAllowance;
+import org.goldcrestfall.daemon.site.CrashReporter;
 import org.goldcrestfall.daemon.site.PrepaidTokens;
 import org.goldcrestfall.daemon.site.SiteClient;
 import org.goldcrestfall.daemon.site.SiteListener;
@@ -37,6 +39,7 @@
   private SiteClient siteClient;
   private PrepaidTokens prepaid;
   private LoadSynchronizer loadSynchronizer;
+  private PromptQuarantine quarantine;
   private GatewayConfiguration configuration;
   private long bufferedBytes;
   private int openExchanges;
@@ -64,6 +67,12 @@
     this.siteClient = siteClient;
     this.prepaid = prepaid;
     loadSynchronizer = new LoadSynchronizer(siteClient, transport, loop, upstreams);
+    quarantine =
+        new PromptQuarantine(upstreams, new CrashReporter(siteClient, transport, loop, clock));
+    metrics.gauge(
+        "suspect_parts",
+        "Prompt parts under which upstreams crashed",
+        () -> quarantine.suspectCount());
     loop.scheduleWithFixedDelay(
         this::checkTimeouts,
         TIMEOUT_CHECK_INTERVAL_MILLIS,
@@ -88,6 +97,11 @@
     upstreams.update(entry);
   }
 
+  @Override
+  public void quarantineChanged(QuarantineView next) {
+    quarantine.update(next);
+  }
+
   /** Returns whether requests can be served. */
   public boolean isReady() {
     return !draining && configuration != null && !upstreams.isEmpty();
@@ -188,6 +202,10 @@
     return loadSynchronizer;
   }
 
+  PromptQuarantine quarantine() {
+    return quarantine;
+  }
+
   int routerCount() {
     return siteClient.routerCount();
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
@@ -121,23 +121,10 @@
 
   private void connect(Upstream upstream, Consumer<UpstreamConnection> callback) {
     String address = upstream.entry().address();
-    int colon = address.lastIndexOf(':');
     ResponseDecoder decoder = new ResponseDecoder();
     UpstreamConnection connection = new UpstreamConnection(upstream, this, decoder);
     ChannelFuture connectFuture =
-        new Bootstrap()
-            .group(loop)
-            .channel(NioSocketChannel.class)
-            .option(ChannelOption.TCP_NODELAY, true)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
-            .handler(
-                new ChannelInitializer<Channel>() {
-                  @Override
-                  protected void initChannel(Channel c) {
-                    c.pipeline().addLast(new HttpRequestEncoder(), decoder, connection);
-                  }
-                })
-            .connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+        open(address, c -> c.pipeline().addLast(new HttpRequestEncoder(), decoder, connection));
     upstream.onConnectionOpened();
     connectFuture.addListener(
         f -> {
@@ -153,6 +140,33 @@
         });
   }
 
+  private ChannelFuture open(String address, Consumer<Channel> initializer) {
+    int colon = address.lastIndexOf(':');
+    return new Bootstrap()
+        .group(loop)
+        .channel(NioSocketChannel.class)
+        .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
+        .handler(
+            new ChannelInitializer<Channel>() {
+              @Override
+              protected void initChannel(Channel c) {
+                initializer.accept(c);
+              }
+            })
+        .connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
+  }
+
+  /** Passes to the callback whether the upstream accepts a connection, which is closed at once. */
+  void checkReachable(Upstream upstream, Consumer<Boolean> callback) {
+    open(upstream.entry().address(), c -> {})
+        .addListener(
+            (ChannelFuture f) -> {
+              f.channel().close();
+              callback.accept(f.isSuccess());
+            });
+  }
+
   /** Keeps a connection for reuse after a complete response. */
   void release(UpstreamConnection connection) {
     connection.upstream().idleConnections().addFirst(connection);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
@@ -53,6 +53,7 @@
   private final DaemonView daemons = new DaemonView(WATCHER_COUNT);
   private final List<Watcher> watchers = new ArrayList<>();
   private long configurationIndex;
+  private long quarantineIndex;
   private long lastContactAtMillis = Long.MIN_VALUE / 2;
   private boolean connected;
 
@@ -148,6 +149,7 @@
           SiteWatch.newBuilder()
               .setRouter(self)
               .setConfigurationIndex(configurationIndex)
+              .setQuarantineIndex(quarantineIndex)
               .setRegistryEpoch(registryEpoch)
               .setRegistryChange(registryChange)
               .setDaemonsChange(daemonsChange)
@@ -241,6 +243,12 @@
       }
     }
     registry.expire(now);
+    // The parts are applied first, so that a router that becomes ready refuses them at once.
+    if (update.getQuarantineIndex() > quarantineIndex) {
+      quarantineIndex = update.getQuarantineIndex();
+      listener.quarantineChanged(
+          SiteCodec.decodeSuspects(quarantineIndex, update.getSuspectPartsList()));
+    }
     if (update.getConfigurationIndex() > configurationIndex) {
       applyConfiguration(update);
     }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -1,6 +1,8 @@
 package org.goldcrestfall.daemon.site;
 
+import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
@@ -8,6 +10,10 @@
 import java.util.Map;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
+import org.goldcrestfall.core.quarantine.CrashReport;
+import org.goldcrestfall.core.quarantine.QuarantineView;
+import org.goldcrestfall.core.quarantine.ServicePart;
+import org.goldcrestfall.core.quarantine.SuspectPart;
 import org.goldcrestfall.core.registry.UpstreamState;
 import org.goldcrestfall.core.site.DaemonDirectory;
 import org.goldcrestfall.core.site.SiteCommand;
@@ -20,6 +26,7 @@
 import org.goldcrestfall.wire.generated.PrepaidTotal;
 import org.goldcrestfall.wire.generated.PutConfiguration;
 import org.goldcrestfall.wire.generated.RenewAllotments;
+import org.goldcrestfall.wire.generated.ReportCrashes;
 import org.goldcrestfall.wire.generated.RouterAllotments;
 import org.goldcrestfall.wire.generated.RouterLife;
 import org.goldcrestfall.wire.generated.SiteReply;
@@ -63,6 +70,17 @@
                 .setHeld(d.held()));
       }
       out.setRenew(renew);
+    } else if (command instanceof SiteCommand.ReportCrashes c) {
+      ReportCrashes.Builder crashes = ReportCrashes.newBuilder().setSentAt(c.sentAtMillis());
+      c.lost().forEach(r -> crashes.addLost(encodeCrash(r)));
+      c.answered()
+          .forEach(
+              p ->
+                  crashes.addAnswered(
+                      org.goldcrestfall.wire.generated.ServicePart.newBuilder()
+                          .setService(p.service())
+                          .setPart(p.part())));
+      out.setCrashes(crashes);
     }
     return out.build().toByteArray();
   }
@@ -94,6 +112,14 @@
             decoded.getRenew().getNumber(),
             decodeTimes(decoded.getRenew().getLife()),
             demands);
+      case CRASHES:
+        ReportCrashes crashes = decoded.getCrashes();
+        return new SiteCommand.ReportCrashes(
+            crashes.getLostList().stream().map(SiteCodec::decodeCrash).toList(),
+            crashes.getAnsweredList().stream()
+                .map(p -> new ServicePart(p.getService(), p.getPart()))
+                .toList(),
+            crashes.getSentAt());
       default:
         return null;
     }
@@ -157,6 +183,9 @@
       }
       out.addRouters(router);
     }
+    state.crashReports().forEach(r -> out.addCrashReports(encodeCrash(r)));
+    out.addAllSuspectParts(encodeSuspects(state.quarantine()))
+        .setQuarantineIndex(state.quarantine().index());
     return out.build().toByteArray();
   }
 
@@ -189,7 +218,57 @@
             decoded.getConfigurationIndex(),
             decoded.getDocument().toByteArray(),
             decodeTotals(decoded.getTotalsList())),
-        routers);
+        routers,
+        decoded.getCrashReportsList().stream().map(SiteCodec::decodeCrash).toList(),
+        decodeSuspects(decoded.getQuarantineIndex(), decoded.getSuspectPartsList()));
+  }
+
+  private static org.goldcrestfall.wire.generated.CrashReport encodeCrash(CrashReport r) {
+    return org.goldcrestfall.wire.generated.CrashReport.newBuilder()
+        .setService(r.service())
+        .setUpstream(r.upstream())
+        .setStartedAt(r.startedAtMillis())
+        .setRequest(r.request())
+        .addAllParts(r.parts())
+        .setAt(r.atMillis())
+        .build();
+  }
+
+  private static CrashReport decodeCrash(org.goldcrestfall.wire.generated.CrashReport r) {
+    return new CrashReport(
+        r.getService(),
+        r.getUpstream(),
+        r.getStartedAt(),
+        r.getRequest(),
+        ImmutableList.copyOf(r.getPartsList()),
+        r.getAt());
+  }
+
+  static List<org.goldcrestfall.wire.generated.SuspectPart> encodeSuspects(QuarantineView view) {
+    List<org.goldcrestfall.wire.generated.SuspectPart> out = new ArrayList<>();
+    for (SuspectPart s : view.parts().values()) {
+      out.add(
+          org.goldcrestfall.wire.generated.SuspectPart.newBuilder()
+              .setService(s.part().service())
+              .setPart(s.part().part())
+              .addAllUpstreams(s.upstreams())
+              .setQuarantinedAt(s.quarantinedAtMillis())
+              .build());
+    }
+    return out;
+  }
+
+  static QuarantineView decodeSuspects(
+      long index, List<org.goldcrestfall.wire.generated.SuspectPart> suspects) {
+    List<SuspectPart> parts = new ArrayList<>();
+    for (var s : suspects) {
+      parts.add(
+          new SuspectPart(
+              new ServicePart(s.getService(), s.getPart()),
+              ImmutableSet.copyOf(s.getUpstreamsList()),
+              s.getQuarantinedAt()));
+    }
+    return QuarantineView.of(index, parts);
   }
 
   private static RouterLife encodeTimes(IncarnationTimes times) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
@@ -17,6 +17,7 @@
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
 import org.goldcrestfall.core.gateway.InvalidConfigurationException;
 import org.goldcrestfall.core.gateway.WorkspaceSettings;
+import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamRegistry;
 import org.goldcrestfall.core.registry.UpstreamState;
@@ -106,7 +107,7 @@
 
   /** Registers the message handlers and starts to exchange notices. */
   public void start() {
-    machine.onConfigurationChange(() -> loop.execute(this::answerWatches));
+    machine.onChange(() -> loop.execute(this::answerWatches));
     transport.registerHandler(
         KindCase.SITE_WATCH, (sender, body) -> runOnLoop(() -> handleWatch(sender, body)));
     transport.registerHandler(
@@ -342,8 +343,14 @@
     return replayFilter.filter(machine.configuration());
   }
 
+  /** Returns the suspect parts that may be sent to routers; none while the log is replayed. */
+  private QuarantineView currentQuarantine() {
+    return currentConfiguration().index() == 0 ? QuarantineView.EMPTY : machine.quarantine();
+  }
+
   private boolean hasChanges(SiteWatch watch) {
     return currentConfiguration().index() > watch.getConfigurationIndex()
+        || currentQuarantine().index() > watch.getQuarantineIndex()
         || watch.getRegistryEpoch() != registryEpoch
         || registry.lastChangeNumber() > watch.getRegistryChange();
   }
@@ -371,6 +378,10 @@
     if (c.index() > watch.getConfigurationIndex()) {
       out.setConfigurationIndex(c.index()).setConfiguration(ByteString.copyFrom(c.document()));
     }
+    QuarantineView q = currentQuarantine();
+    if (q.index() > watch.getQuarantineIndex()) {
+      out.setQuarantineIndex(q.index()).addAllSuspectParts(SiteCodec.encodeSuspects(q));
+    }
     DaemonDirectory.Changes changes =
         daemons.changesAfter(sameEpoch ? watch.getDaemonsChange() : 0);
     SiteCodec.encodeDaemons(changes, out);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteListener.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteListener.java
@@ -1,6 +1,7 @@
 package org.goldcrestfall.daemon.site;
 
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
+import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 
 /** Receives changes of the site's state on a router; called on the router's event loop. */
@@ -11,4 +12,7 @@
 
   /** Called when an upstream is new or its entry has changed. */
   void upstreamChanged(UpstreamEntry entry);
+
+  /** Called when the prompt parts under which upstreams have crashed are different ones. */
+  void quarantineChanged(QuarantineView quarantine);
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
@@ -6,11 +6,15 @@
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteState;
 import org.goldcrestfall.daemon.control.StateMachine;
 
-/** The site's replicated state machine. The configuration may be read from any thread. */
+/**
+ * The site's replicated state machine. The configuration and the suspect parts may be read from any
+ * thread.
+ */
 public final class SiteStateMachine implements StateMachine {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
@@ -25,11 +29,15 @@
 
   private final SiteState state = new SiteState();
   private volatile SiteState.StoredConfiguration configuration = state.configuration();
-  private volatile Runnable configurationListener = () -> {};
+  private volatile QuarantineView quarantine = state.quarantine();
+  private volatile Runnable changeListener = () -> {};
 
-  /** Sets the action that runs on the consensus thread when another configuration is in force. */
-  void onConfigurationChange(Runnable action) {
-    configurationListener = action;
+  /**
+   * Sets the action that runs on the consensus thread when another configuration is in force or the
+   * suspect parts have changed.
+   */
+  void onChange(Runnable action) {
+    changeListener = action;
   }
 
   /**
@@ -39,6 +47,11 @@
     return configuration;
   }
 
+  /** Returns the suspect parts according to the log entries that this member has applied. */
+  QuarantineView quarantine() {
+    return quarantine;
+  }
+
   @Override
   public byte[] apply(long index, byte[] command) {
     SiteState.Reply reply = new SiteState.Reply(configuration.version(), List.of());
@@ -52,7 +65,7 @@
       logger.atSevere().log(
           "site: log entry %s cannot be decoded as a command: %s", index, e.getMessage());
     }
-    publishConfiguration();
+    publishChanges();
     logger.atInfo().atMostEvery(LEDGER_LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
         "prepaid: %s tokens reclaimed; available/total tokens of each workspace: %s",
         state.reclaimedTokens(), LazyArgs.lazy(this::describeLedger));
@@ -75,15 +88,19 @@
     return out.toString();
   }
 
-  private void publishConfiguration() {
-    if (configuration == state.configuration()) {
+  private void publishChanges() {
+    boolean configurationChanged = configuration != state.configuration();
+    if (!configurationChanged && quarantine == state.quarantine()) {
       return;
     }
     configuration = state.configuration();
-    logger.atInfo().log(
-        "site: configuration version %s is in force since index %s",
-        configuration.version(), configuration.index());
-    configurationListener.run();
+    quarantine = state.quarantine();
+    if (configurationChanged) {
+      logger.atInfo().log(
+          "site: configuration version %s is in force since index %s",
+          configuration.version(), configuration.index());
+    }
+    changeListener.run();
   }
 
   @Override
@@ -105,6 +122,6 @@
     } catch (InvalidProtocolBufferException e) {
       throw new IllegalArgumentException("site snapshot cannot be decoded", e);
     }
-    publishConfiguration();
+    publishChanges();
   }
 }
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -20,6 +20,7 @@
 import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.gateway.ClientLimits;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
@@ -38,7 +39,7 @@
 import org.goldcrestfall.wire.TransportListener;
 import org.goldcrestfall.wire.generated.DaemonEntry;
 
-/** A router on loopback without a control daemon; tests set its configuration and upstreams. */
+/** A router on loopback; tests set its configuration and upstreams. */
 final class GatewayFixture implements AutoCloseable {
 
   static final GatewayHeaderNames HEADER_NAMES =
@@ -64,11 +65,22 @@
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) eventLoopGroup.next();
   private final NettyPeerTransport transport;
+  private final SiteClient site;
   private final Channel server;
   private int lastRequestId;
   private final List<ScriptedUpstream> upstreams = new ArrayList<>();
 
+  /** Starts a router that reaches no control daemon. */
   GatewayFixture() throws Exception {
+    this(() -> List.of("127.0.0.1:1"));
+  }
+
+  /**
+   * Starts a router of a site, which has to be configured before it joins the site.
+   *
+   * @param seeds supplies the peer addresses of control daemons
+   */
+  GatewayFixture(Supplier<List<String>> seeds) throws Exception {
     MillisClock clock = MillisClock.monotonic();
     transport =
         new NettyPeerTransport(
@@ -83,9 +95,8 @@
             clock,
             new GatewayMetrics());
     DaemonEntry self = DaemonEntry.newBuilder().setAddress(transport.address()).build();
-    SiteClient site =
-        new SiteClient(
-            self, () -> List.of("127.0.0.1:1"), transport, d -> null, loop, clock, gateway);
+    site =
+        new SiteClient(self, seeds, transport, d -> gateway.configuration(), loop, clock, gateway);
     PrepaidTokens prepaid = new PrepaidTokens("r", "r#1", site, transport, loop, clock);
     gateway.attach(site, prepaid, transport);
     server = GatewayServer.bind(gateway, loop, "127.0.0.1", 0);
@@ -140,6 +151,11 @@
     return u;
   }
 
+  /** Starts to watch the control daemons, whose configuration is ignored. */
+  void joinSite() {
+    site.start();
+  }
+
   void runOnLoop(Runnable task) throws Exception {
     loop.submit(task).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -28,6 +28,7 @@
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
 import org.goldcrestfall.core.gateway.InvalidConfigurationException;
 import org.goldcrestfall.core.gateway.WorkspaceSettings;
+import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.daemon.Await;
 import org.goldcrestfall.daemon.control.ControlReplica;
@@ -54,13 +55,15 @@
    *
    * @param versions the versions of the configurations that it has applied, in order
    * @param upstreams the last entry that it received of each upstream, by id
+   * @param quarantines the suspect parts that it has applied, in order
    */
   public record Router(
       NettyPeerTransport transport,
       SiteClient site,
       PrepaidTokens tokens,
       List<Long> versions,
-      Map<String, UpstreamEntry> upstreams) {}
+      Map<String, UpstreamEntry> upstreams,
+      List<QuarantineView> quarantines) {}
 
   /** Decodes a document of a version, a workspace and its prepaid tokens, separated by spaces. */
   static final ConfigurationDecoder DECODER =
@@ -160,6 +163,7 @@
     NettyPeerTransport transport =
         new NettyPeerTransport(settings(host, 0), TransportListener.NONE, eventLoopGroup);
     List<Long> versions = new CopyOnWriteArrayList<>();
+    List<QuarantineView> quarantines = new CopyOnWriteArrayList<>();
     Map<String, UpstreamEntry> upstreams = new ConcurrentHashMap<>();
     PrepaidTokens[] tokens = new PrepaidTokens[1];
     SiteListener listener =
@@ -174,6 +178,11 @@
           public void upstreamChanged(UpstreamEntry entry) {
             upstreams.put(entry.id(), entry);
           }
+
+          @Override
+          public void quarantineChanged(QuarantineView view) {
+            quarantines.add(view);
+          }
         };
     DaemonEntry self =
         DaemonEntry.newBuilder()
@@ -185,7 +194,7 @@
     tokens[0] = new PrepaidTokens(host, host + "#1", site, transport, loop, clock);
     tokens[0].start();
     site.start();
-    return new Router(transport, site, tokens[0], versions, upstreams);
+    return new Router(transport, site, tokens[0], versions, upstreams, quarantines);
   }
 
   /** Returns the event loop on which all daemons run. */
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
@@ -4,10 +4,17 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.dispatch.PromptPart;
+import org.goldcrestfall.core.dispatch.RequestSize;
+import org.goldcrestfall.core.quarantine.CrashReport;
+import org.goldcrestfall.core.quarantine.QuarantineView;
+import org.goldcrestfall.core.quarantine.ServicePart;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamState;
 import org.goldcrestfall.daemon.site.PrepaidTokens.Outcome;
@@ -100,6 +107,47 @@
     assertThat(site.call(() -> site.controls.get("c0").site().markDeparted("u", 1))).isFalse();
   }
 
+  /**
+   * Guards against sending prompts that crash upstreams again: a router that starts after all
+   * control daemons have restarted must know the parts that are refused.
+   */
+  @Example
+  void quarantineReachesRoutersAndOutlivesRestartOfAllControlDaemons() throws Exception {
+    open(3);
+    site.put("c0", "1 w 1000");
+    Router router = site.startRouter(site::addresses);
+    long now = MillisClock.utc().nowMillis();
+    List<CrashReport> lost = new ArrayList<>();
+    for (int u = 1; u <= 3; u++) {
+      lost.add(new CrashReport("s", "u" + u, 1, "q" + u, ImmutableList.of("bad"), now + u * 1_000));
+    }
+    CrashReporter reporter =
+        new CrashReporter(router.site(), router.transport(), site.loop(), MillisClock.monotonic());
+    site.run(() -> reporter.reportLost(lost));
+    SiteFixture.await(() -> refusesBadPart(router));
+    for (String host : List.of("c0", "c1", "c2")) {
+      site.stopControl(host);
+    }
+    for (int i = 0; i < 3; i++) {
+      site.startControl(i, false);
+    }
+    Router late = site.startRouter(site::addresses);
+    SiteFixture.await(() -> !late.versions().isEmpty());
+    assertThat(refusesBadPart(late)).isTrue();
+    site.run(() -> reporter.reportAnswered(new ServicePart("s", "bad")));
+    SiteFixture.await(() -> !refusesBadPart(late) && !refusesBadPart(router));
+  }
+
+  private static boolean refusesBadPart(Router router) {
+    if (router.quarantines().isEmpty()) {
+      return false;
+    }
+    var size =
+        new RequestSize(2, 1, ImmutableList.of(new PromptPart("bad", 1), new PromptPart("own", 1)));
+    QuarantineView view = router.quarantines().get(router.quarantines().size() - 1);
+    return view.quarantineMillis("s", size, MillisClock.utc().nowMillis()).isPresent();
+  }
+
   @Example
   void routerBorrowsFromAnotherRouterWhileNoControlDaemonIsReachable() throws Exception {
     open(1);
