Treat streams that end inside an event as broken off

Callers could get a stream that had broken off as a complete success. An answer without a length or chunks ends with its connection, so a crash of the upstream looked like its end, and the bytes after the last complete event were passed on. Framed streams that end inside an event passed in the same way.

Attempt now ends such a stream as failed: it is resumed where the route allows, otherwise the caller's connection is closed without the last chunk.

GatewayTest.streamThatEndsInsideAnEventDoesNotLookComplete and resumableStreamThatEndsInsideAnEventIsResumed failed on the code before.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -222,6 +222,11 @@
     if (!open) {
       return;
     }
+    if (bufferedBody == null && callerResponse.hasIncompleteEvent()) {
+      // An upstream that breaks off may close its connection in the same way as after the end.
+      onFailure("the stream ended inside an event", false);
+      return;
+    }
     long now = gateway.now();
     if (head.status().code() >= 500) {
       upstream.load().onFailure(now);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerResponse.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerResponse.java
@@ -112,10 +112,15 @@
     return !scanner.isEventTooLong();
   }
 
-  /** Ends a stream that its upstream has ended, with any bytes after the last complete event. */
+  /** Returns whether the stream has stopped inside an event. */
+  boolean hasIncompleteEvent() {
+    return scanner.hasIncompleteEvent();
+  }
+
+  /** Ends a stream that its upstream has ended after a complete event. */
   void endStream() {
     writeHead(pendingHead);
-    client.writeLast(new DefaultLastHttpContent(scanner.takeIncompleteEvent()));
+    client.writeLast(new DefaultLastHttpContent());
   }
 
   /** Discards a head not yet written and any bytes after the last complete event. */
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/EventScanner.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/EventScanner.java
@@ -74,11 +74,9 @@
     return incompleteEvent.readableBytes() > MAX_EVENT_BYTES;
   }
 
-  /** Removes and returns the bytes after the last complete event. */
-  ByteBuf takeIncompleteEvent() {
-    ByteBuf out = incompleteEvent;
-    incompleteEvent = Unpooled.EMPTY_BUFFER;
-    return out;
+  /** Returns whether there are bytes after the last complete event. */
+  boolean hasIncompleteEvent() {
+    return incompleteEvent.isReadable();
   }
 
   /** Discards the bytes after the last complete event. */
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -5,10 +5,12 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.List;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
 import org.goldcrestfall.core.gateway.RouteKind;
+import org.goldcrestfall.core.registry.UpstreamState;
 
 /** Runs a router between raw sockets; guards against wrong, duplicate, mixed and lost responses. */
 class GatewayTest {
@@ -266,6 +268,58 @@
     assertThat(one.calls.size() + two.calls.size()).isEqualTo(1);
   }
 
+  /** Sends a stream that ends inside its second event, in one of the forms that a body can have. */
+  private static void endInsideAnEvent(ScriptedUpstream.Call c, String framing) throws IOException {
+    String events = "id: 1\ndata: a\n\nid: 2\nda";
+    switch (framing) {
+      case "chunks" -> {
+        stream(c, events);
+        c.write("0\r\n\r\n");
+      }
+      case "length" -> c.reply(200, SIGNED, events);
+      default -> {
+        c.write(head(c) + SIGNED + "\r\n" + events);
+        c.socket().close();
+      }
+    }
+  }
+
+  /**
+   * Guards against answers that broke off and reached the caller as a complete success: a stream
+   * without a length or chunks ends with its connection, also if its upstream has crashed.
+   */
+  @Example
+  void streamThatEndsInsideAnEventDoesNotLookComplete() throws Exception {
+    for (String framing : List.of("chunks", "length", "none")) {
+      String id = "u-" + framing;
+      fixture.addUpstream(id, c -> endInsideAnEvent(c, framing));
+      String response = fixture.call("POST", "/stream/a", "", "");
+      assertThat(response).as(framing).contains("id: 1").doesNotContain("id: 2");
+      assertThat(response).as(framing).doesNotEndWith("0\r\n\r\n");
+      fixture.runOnLoop(
+          () -> fixture.gateway.upstreamChanged(fixture.entry(id, UpstreamState.GONE)));
+    }
+  }
+
+  @Example
+  void resumableStreamThatEndsInsideAnEventIsResumed() throws Exception {
+    ScriptedUpstream.Script script =
+        c -> {
+          if (c.header("Last-Event-Id").isEmpty()) {
+            endInsideAnEvent(c, "none");
+          } else {
+            stream(c, "id: 2\ndata: b\n\n");
+            c.write("0\r\n\r\n");
+          }
+        };
+    fixture.addUpstream("u1", script);
+    fixture.addUpstream("u2", script);
+    assertThat(fixture.call("POST", "/resume/a", "", ""))
+        .contains("id: 1\ndata: a\n\n")
+        .contains("id: 2\ndata: b\n\n")
+        .endsWith("0\r\n\r\n");
+  }
+
   @Example
   void streamThatBreaksBeforeItsFirstCompleteEventIsReportedAsUpstreamFailure() throws Exception {
     fixture.addUpstream(
