Refuse parts that were lost in the same crashes only together

Parts with the same crashes are now refused only in requests that have all of them, so a request with the sound part alone is sent and clears it. A part whose crashes are all among those of another one is released.

--- a/core/src/main/java/org/goldcrestfall/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/goldcrestfall/core/quarantine/PartQuarantine.java
@@ -14,7 +14,8 @@
  * Finds prompt parts that crash upstreams. Each crash makes the shared parts of the requests
  * suspect whose answer had not begun; the first answer that begins with a part clears it. A part
  * that stays suspect over several crashes is put in quarantine, so that requests with it are
- * refused. Deterministic and not thread-safe.
+ * refused. Parts that were lost in the same crashes are refused only together, so that a sound one
+ * is cleared by a request that has it alone. Deterministic and not thread-safe.
  */
 public final class PartQuarantine {
 
@@ -41,6 +42,8 @@
 
   private static final int MAX_REPORTS = 500;
 
+  private record Crash(String upstream, long startedAtMillis) {}
+
   private final List<CrashReport> reports = new ArrayList<>();
   private final Map<ServicePart, Long> quarantined = new LinkedHashMap<>();
 
@@ -58,6 +61,7 @@
     for (CrashReport r : lost) {
       changed |= add(r, nowMillis);
     }
+    releaseExplainedParts();
     return changed;
   }
 
@@ -96,26 +100,53 @@
   }
 
   private boolean isConvicted(ServicePart part) {
-    List<CrashReport> crashes = new ArrayList<>();
     Set<String> requests = new HashSet<>();
     long first = Long.MAX_VALUE;
     long last = Long.MIN_VALUE;
     for (CrashReport r : reports) {
-      if (!concerns(r, part) || isOutage(r)) {
-        continue;
-      }
-      requests.add(r.request());
-      if (crashes.stream().noneMatch(r::isSameCrash)) {
-        crashes.add(r);
+      if (concerns(r, part) && !isOutage(r)) {
+        requests.add(r.request());
         first = Math.min(first, r.atMillis());
         last = Math.max(last, r.atMillis());
       }
     }
-    return crashes.size() >= MIN_CRASHES
+    return crashes(part).size() >= MIN_CRASHES
         && requests.size() >= MIN_REQUESTS
         && last - first > SIMULTANEOUS_MILLIS;
   }
 
+  /** Returns the crashes, other than outages, in which requests with the part were lost. */
+  private Set<Crash> crashes(ServicePart part) {
+    Set<Crash> crashes = new HashSet<>();
+    for (CrashReport r : reports) {
+      if (concerns(r, part) && !isOutage(r)) {
+        crashes.add(new Crash(r.upstream(), r.startedAtMillis()));
+      }
+    }
+    return crashes;
+  }
+
+  private Map<ServicePart, Set<Crash>> crashesOfQuarantined() {
+    Map<ServicePart, Set<Crash>> out = new LinkedHashMap<>();
+    quarantined.keySet().forEach(p -> out.put(p, crashes(p)));
+    return out;
+  }
+
+  /** Ends the quarantine of parts if another part was lost in all their crashes and in others. */
+  private void releaseExplainedParts() {
+    Map<ServicePart, Set<Crash>> convicted = crashesOfQuarantined();
+    convicted.forEach(
+        (part, crashes) -> {
+          for (Map.Entry<ServicePart, Set<Crash>> other : convicted.entrySet()) {
+            if (other.getKey().service().equals(part.service())
+                && other.getValue().size() > crashes.size()
+                && other.getValue().containsAll(crashes)) {
+              quarantined.remove(part);
+            }
+          }
+        });
+  }
+
   /** Returns whether several upstreams of the service crashed at the time of this crash. */
   private boolean isOutage(CrashReport crash) {
     List<CrashReport> simultaneous = new ArrayList<>();
@@ -144,12 +175,30 @@
             .add(r.upstream());
       }
     }
+    Map<ServicePart, Set<Crash>> convicted = crashesOfQuarantined();
     ImmutableList.Builder<SuspectPart> out = ImmutableList.builder();
     upstreams.forEach(
         (part, crashed) ->
             out.add(
                 new SuspectPart(
-                    part, ImmutableSet.copyOf(crashed), quarantined.getOrDefault(part, 0L))));
+                    part,
+                    ImmutableSet.copyOf(crashed),
+                    companions(part, convicted),
+                    quarantined.getOrDefault(part, 0L))));
+    return out.build();
+  }
+
+  private static ImmutableSet<String> companions(
+      ServicePart part, Map<ServicePart, Set<Crash>> convicted) {
+    ImmutableSet.Builder<String> out = ImmutableSet.builder();
+    convicted.forEach(
+        (other, crashes) -> {
+          if (!other.equals(part)
+              && other.service().equals(part.service())
+              && crashes.equals(convicted.get(part))) {
+            out.add(other.part());
+          }
+        });
     return out.build();
   }
 
--- a/core/src/main/java/org/goldcrestfall/core/quarantine/QuarantineView.java
+++ b/core/src/main/java/org/goldcrestfall/core/quarantine/QuarantineView.java
@@ -4,6 +4,8 @@
 import com.google.common.collect.Maps;
 import java.util.Collection;
 import java.util.OptionalLong;
+import java.util.Set;
+import java.util.stream.Collectors;
 import org.goldcrestfall.core.dispatch.PromptPart;
 import org.goldcrestfall.core.dispatch.RequestSize;
 
@@ -24,7 +26,7 @@
 
   /**
    * Returns the milliseconds for which requests of this prompt are still refused, or nothing if
-   * none of its shared parts is in quarantine.
+   * none of its shared parts is in quarantine together with its companions.
    *
    * @param nowMillis milliseconds since the epoch
    */
@@ -32,9 +34,13 @@
     if (parts.isEmpty()) {
       return OptionalLong.empty();
     }
-    for (PromptPart p : requestSize.sharedParts()) {
-      SuspectPart suspect = parts.get(new ServicePart(service, p.id()));
-      if (suspect == null || suspect.quarantinedAtMillis() == 0) {
+    Set<String> ids =
+        requestSize.sharedParts().stream().map(PromptPart::id).collect(Collectors.toSet());
+    for (String id : ids) {
+      SuspectPart suspect = parts.get(new ServicePart(service, id));
+      if (suspect == null
+          || suspect.quarantinedAtMillis() == 0
+          || !ids.containsAll(suspect.companions())) {
         continue;
       }
       long remaining = suspect.quarantinedAtMillis() + PartQuarantine.QUARANTINE_MILLIS - nowMillis;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -252,6 +252,7 @@
               .setService(s.part().service())
               .setPart(s.part().part())
               .addAllUpstreams(s.upstreams())
+              .addAllCompanions(s.companions())
               .setQuarantinedAt(s.quarantinedAtMillis())
               .build());
     }
@@ -266,6 +267,7 @@
           new SuspectPart(
               new ServicePart(s.getService(), s.getPart()),
               ImmutableSet.copyOf(s.getUpstreamsList()),
+              ImmutableSet.copyOf(s.getCompanionsList()),
               s.getQuarantinedAt()));
     }
     return QuarantineView.of(index, parts);
