Log the request rates that upstreams state

Nothing read the limit in an answer, so no line told when a router learned of it; each change of it is kept with the load of the upstream and logged now.

--- a/core/src/main/java/org/goldcrestfall/core/dispatch/UpstreamLoad.java
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/UpstreamLoad.java
@@ -4,6 +4,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.goldcrestfall.core.limit.StatedLimit;
 
 /**
  * What one router knows about one upstream: its own requests there, the load that other routers and
@@ -67,6 +68,7 @@
   private long reportedAtMillis = Long.MIN_VALUE / 2;
   private int sentSinceReport;
   private int slots;
+  private StatedLimit limit = StatedLimit.NONE;
   private int consecutiveFailures;
   private long pausedUntilMillis = Long.MIN_VALUE / 2;
   private long lastBytesAtMillis;
@@ -277,6 +279,16 @@
     return slots;
   }
 
+  /** Sets the rate limit that the upstream has stated, unless a newer one is known. */
+  public void setLimit(StatedLimit stated) {
+    limit = limit.newer(stated);
+  }
+
+  /** Returns the rate limit that the upstream has stated last. */
+  public StatedLimit limit() {
+    return limit;
+  }
+
   /** Returns the upstream's id. */
   public String id() {
     return id;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.dispatch.RequestSize;
 import org.goldcrestfall.core.dispatch.UpstreamLoad;
+import org.goldcrestfall.core.limit.StatedLimit;
 
 /**
  * One attempt to send a request to an upstream, with the response to it. It updates the upstream's
@@ -138,6 +139,7 @@
   public void onHead(HttpResponse response) {
     head = response;
     readReportedLoad();
+    readRateLimit();
     GatewayHeaderNames headerNames = gateway.headerNames();
     int status = response.status().code();
     if (response.headers().contains(headerNames.notRun()) || status == 421) {
@@ -187,6 +189,28 @@
     }
   }
 
+  private void readRateLimit() {
+    String value = head.headers().get(gateway.headerNames().rateLimit());
+    if (value == null && head.status().code() / 100 != 2) {
+      // Only a regular answer without a limit shows that there is none any more.
+      return;
+    }
+    double before = upstream.load().limit().requestsPerSecond();
+    double rate = before;
+    try {
+      rate = value == null ? StatedLimit.UNLIMITED : Double.parseDouble(value);
+    } catch (NumberFormatException e) {
+      logger.atInfo().atMostEvery(10, TimeUnit.SECONDS).log(
+          "upstream: %s stated the limit %s, expected a number", upstream.entry().id(), value);
+    }
+    if (rate != before) {
+      logger.atInfo().log(
+          "upstream: %s takes %s requests a second, %s before",
+          upstream.entry().id(), rate, before);
+    }
+    upstream.load().setLimit(new StatedLimit(rate, gateway.now()));
+  }
+
   @Override
   public void onBody(ByteBuf bytes) {
     recordFirstByte();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayHeaderNames.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayHeaderNames.java
@@ -14,6 +14,7 @@
  * @param tokenCount the prompt tokens and the maximum output tokens of a request
  * @param promptParts the parts of a prompt as a comma-separated list of ID:TOKENS
  * @param load the numbers of running and waiting requests at an upstream and of its slots
+ * @param rateLimit the requests a second that an upstream takes from all routers together
  * @param engineRank the priority at an engine, 0 to 9, where 0 is the most urgent
  * @param lastEventId the id of the last event of a stream that the caller has received
  * @param authScheme the scheme of the Authorization header, including the space after it
@@ -30,6 +31,7 @@
     String tokenCount,
     String promptParts,
     String load,
+    String rateLimit,
     String engineRank,
     String lastEventId,
     String authScheme,
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -53,6 +53,7 @@
           "X-Tokens",
           "X-Parts",
           "X-Load",
+          "X-Limit",
           "X-Rank",
           "Last-Event-Id",
           "Token ",
