Keep the request rates that upstreams state

Cause: the header was passed on and read by nobody; the choice of upstreams took the few requests at such an engine for a short wait. Class: backpressure that is not heeded.

Change: a router asks for a permit before each send to an upstream that states a rate. One control daemon for each upstream grants them, spaced by the rate; a second one if it does not answer; else each router uses an equal share. Requests without a permit go to other upstreams, or are refused at once with the time of the next permit.

--- a/core/src/main/java/org/goldcrestfall/core/dispatch/UpstreamLoad.java
+++ b/core/src/main/java/org/goldcrestfall/core/dispatch/UpstreamLoad.java
@@ -69,6 +69,7 @@
   private int sentSinceReport;
   private int slots;
   private StatedLimit limit = StatedLimit.NONE;
+  private long limitedUntilMillis = Long.MIN_VALUE / 2;
   private int consecutiveFailures;
   private long pausedUntilMillis = Long.MIN_VALUE / 2;
   private long lastBytesAtMillis;
@@ -289,6 +290,16 @@
     return limit;
   }
 
+  /** Records that the rate limit allows no request before {@code untilMillis}. */
+  public void setLimitedUntil(long untilMillis) {
+    limitedUntilMillis = untilMillis;
+  }
+
+  /** Returns the milliseconds until the rate limit may allow a request, 0 if it may now. */
+  public long limitedMillis(long nowMillis) {
+    return limit.isLimited() ? Math.max(0, limitedUntilMillis - nowMillis) : 0;
+  }
+
   /** Returns the upstream's id. */
   public String id() {
     return id;
--- /dev/null
+++ b/core/src/main/java/org/goldcrestfall/core/limit/RatePermits.java
@@ -0,0 +1,93 @@
+package org.goldcrestfall.core.limit;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+
+/**
+ * Grants permits to send requests to upstreams that limit their rate, spaced by the inverse of the
+ * rate. Permits that were not requested are kept for a short time only, so that the upstream gets
+ * no burst. Not thread-safe.
+ */
+public final class RatePermits {
+
+  /** Time for which permits that nobody requested are kept. */
+  static final long BURST_MILLIS = 500;
+
+  /** Time after which an upstream is forgotten if nobody asks for it. */
+  static final long EXPIRY_MILLIS = 60_000;
+
+  /** Delay until the next request for a permit, at most. */
+  static final long MAX_RETRY_AFTER_MILLIS = 2_000;
+
+  /**
+   * The answer to a request for a permit.
+   *
+   * @param granted whether one request may be sent now
+   * @param retryAfterMillis the time until the next permit, if none was granted
+   * @param limit the newest known limit of the upstream
+   */
+  public record Decision(boolean granted, long retryAfterMillis, StatedLimit limit) {}
+
+  private static final class Schedule {
+    StatedLimit limit;
+    double nextAtMillis;
+    long usedAtMillis;
+  }
+
+  private final DoubleSupplier firstDelay;
+  private final Map<String, Schedule> schedules = new HashMap<>();
+  private long expireAtMillis = Long.MIN_VALUE;
+
+  /**
+   * Creates an instance without upstreams.
+   *
+   * @param firstDelay supplies the delay of the first permit of an upstream, as a multiple of the
+   *     time between two permits. What was sent to it before is not known, so 0 risks a burst.
+   */
+  public RatePermits(DoubleSupplier firstDelay) {
+    this.firstDelay = firstDelay;
+  }
+
+  /**
+   * Requests a permit to send one request.
+   *
+   * @param upstream identifies the incarnation of an upstream
+   * @param stated the limit that the requester knows
+   */
+  public Decision acquire(String upstream, StatedLimit stated, long nowMillis) {
+    expire(nowMillis);
+    Schedule s = schedules.computeIfAbsent(upstream, u -> new Schedule());
+    s.usedAtMillis = nowMillis;
+    boolean isNew = s.limit == null || !s.limit.isLimited();
+    s.limit = s.limit == null ? stated : s.limit.newer(stated);
+    if (!s.limit.isLimited()) {
+      return new Decision(true, 0, s.limit);
+    }
+    double rate = s.limit.requestsPerSecond();
+    if (rate <= 0) {
+      return new Decision(false, MAX_RETRY_AFTER_MILLIS, s.limit);
+    }
+    double intervalMillis = 1_000 / rate;
+    if (isNew) {
+      s.nextAtMillis = nowMillis + firstDelay.getAsDouble() * intervalMillis;
+    }
+    // A rise of the limit must not leave the next permit at the interval of the lower one.
+    s.nextAtMillis =
+        Math.max(nowMillis - BURST_MILLIS, Math.min(s.nextAtMillis, nowMillis + intervalMillis));
+    if (s.nextAtMillis <= nowMillis) {
+      s.nextAtMillis += intervalMillis;
+      return new Decision(true, 0, s.limit);
+    }
+    long waitMillis = (long) Math.ceil(s.nextAtMillis - nowMillis);
+    return new Decision(false, Math.min(MAX_RETRY_AFTER_MILLIS, waitMillis), s.limit);
+  }
+
+  private void expire(long nowMillis) {
+    if (nowMillis < expireAtMillis) {
+      return;
+    }
+    expireAtMillis = nowMillis + EXPIRY_MILLIS;
+    schedules.values().removeIf(s -> nowMillis - s.usedAtMillis > EXPIRY_MILLIS);
+  }
+}
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -208,7 +208,11 @@
           "upstream: %s takes %s requests a second, %s before",
           upstream.entry().id(), rate, before);
     }
-    upstream.load().setLimit(new StatedLimit(rate, gateway.now()));
+    StatedLimit stated = new StatedLimit(rate, gateway.now());
+    upstream.load().setLimit(stated);
+    if (rate != before && !stated.isLimited()) {
+      gateway.rateLimiter().onLimitLifted(upstream, stated);
+    }
   }
 
   @Override
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -190,22 +190,34 @@
       return;
     }
     Upstream upstream = selected.get();
-    gateway.upstreams().acquire(upstream, c -> onConnected(upstream, c, retryReason));
+    gateway
+        .rateLimiter()
+        .acquire(
+            upstream,
+            granted -> {
+              if (granted) {
+                gateway.upstreams().acquire(upstream, c -> onConnected(upstream, c, retryReason));
+              } else {
+                dispatch(retryReason);
+              }
+            });
   }
 
   private Optional<Upstream> selectUpstream() {
     var ready = gateway.upstreams().ready(service);
     int limit = connectionLimit();
+    long now = gateway.now();
     List<UpstreamLoad> candidates = new ArrayList<>(ready.size());
     for (Upstream u : ready.values()) {
       if (!triedUpstreams.contains(u.entry().id())
+          && u.load().limitedMillis(now) == 0
           && (!u.idleConnections().isEmpty() || u.openConnections() < limit)) {
         candidates.add(u.load());
       }
     }
     return gateway
         .upstreamSelector()
-        .choose(candidates, requestSize, gateway.now())
+        .choose(candidates, requestSize, now)
         .map(l -> ready.get(l.id()));
   }
 
@@ -219,6 +231,22 @@
       abort("no upstream is left to resume the stream");
     } else if (mayHaveRun()) {
       fail(ErrorKind.UPSTREAM_FAILED, "The upstream failed.");
+    } else {
+      refuseForLackOfUpstreams();
+    }
+  }
+
+  private void refuseForLackOfUpstreams() {
+    OptionalLong limitedMillis =
+        gateway.upstreams().ready(service).values().stream()
+            .mapToLong(u -> u.load().limitedMillis(gateway.now()))
+            .filter(millis -> millis > 0)
+            .min();
+    if (limitedMillis.isPresent()) {
+      refuse(
+          ErrorKind.OVERLOADED,
+          "The upstreams take no more requests now.",
+          Math.max(limitedMillis.getAsLong(), jitteredRetryAfterMillis()));
     } else {
       refuse(
           ErrorKind.NO_UPSTREAM,
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -16,6 +16,7 @@
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.retry.RetryAllowance;
 import org.goldcrestfall.daemon.site.CrashReporter;
+import org.goldcrestfall.daemon.site.PermitClient;
 import org.goldcrestfall.daemon.site.PrepaidTokens;
 import org.goldcrestfall.daemon.site.SiteClient;
 import org.goldcrestfall.daemon.site.SiteListener;
@@ -40,6 +41,7 @@
   private PrepaidTokens prepaid;
   private LoadSynchronizer loadSynchronizer;
   private PromptQuarantine quarantine;
+  private UpstreamRateLimiter rateLimiter;
   private GatewayConfiguration configuration;
   private long bufferedBytes;
   private int openExchanges;
@@ -69,6 +71,12 @@
     loadSynchronizer = new LoadSynchronizer(siteClient, transport, loop, upstreams);
     quarantine =
         new PromptQuarantine(upstreams, new CrashReporter(siteClient, transport, loop, clock));
+    rateLimiter =
+        new UpstreamRateLimiter(new PermitClient(siteClient, transport, loop, clock), loop, clock);
+    metrics.gauge(
+        "limited_upstreams",
+        "Upstreams that state a rate limit",
+        () -> upstreams.all().stream().filter(u -> u.load().limit().isLimited()).count());
     metrics.gauge(
         "suspect_parts",
         "Prompt parts under which upstreams crashed",
@@ -206,6 +214,10 @@
     return quarantine;
   }
 
+  UpstreamRateLimiter rateLimiter() {
+    return rateLimiter;
+  }
+
   int routerCount() {
     return siteClient.routerCount();
   }
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -145,7 +145,8 @@
     return register(id, new ScriptedUpstream(script, true));
   }
 
-  private ScriptedUpstream register(String id, ScriptedUpstream u) throws Exception {
+  /** Makes an upstream known to this router; it is closed together with the router. */
+  ScriptedUpstream register(String id, ScriptedUpstream u) throws Exception {
     upstreams.put(id, u);
     runOnLoop(() -> gateway.upstreamChanged(entry(id, UpstreamState.READY)));
     return u;
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -146,6 +146,7 @@
             clock);
     site.start();
     new LoadExchange(address, site::otherMembers, transport, loop, clock).start();
+    new PermitService(transport, loop, clock).start();
     ControlDaemon control = new ControlDaemon(host, transport, replica, site);
     controls.put(host, control);
     return control;
