--- a/core/src/main/java/org/goldcrestfall/core/limit/RatePermits.java
+++ b/core/src/main/java/org/goldcrestfall/core/limit/RatePermits.java
@@ -59,7 +59,7 @@
     expire(nowMillis);
     Schedule s = schedules.computeIfAbsent(upstream, u -> new Schedule());
     s.usedAtMillis = nowMillis;
-    boolean isNew = s.limit == null || !s.limit.isLimited();
+    final boolean isNew = s.limit == null || !s.limit.isLimited();
     s.limit = s.limit == null ? stated : s.limit.newer(stated);
     if (!s.limit.isLimited()) {
       return new Decision(true, 0, s.limit);
