Bound the size of reports of crashes

A prompt header may list over a thousand parts, and the reports of a crash were sent in one command whose size is limited: one that is too large would have been sent again and again. 32 parts of a prompt are reported, 20 requests in a command, and 200 reports are kept. A local of a test is final now, as the linter asks.

--- a/core/src/main/java/org/goldcrestfall/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/goldcrestfall/core/quarantine/PartQuarantine.java
@@ -40,7 +40,7 @@
    */
   static final int OUTAGE_CRASHES = 3;
 
-  private static final int MAX_REPORTS = 500;
+  private static final int MAX_REPORTS = 200;
 
   private record Crash(String upstream, long startedAtMillis) {}
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/PromptQuarantine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/PromptQuarantine.java
@@ -24,6 +24,9 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /** Number of shared parts of a prompt that are reported; all daemons keep them. */
+  private static final int MAX_REPORTED_PARTS = 32;
+
   private final UpstreamConnections upstreams;
   private final CrashReporter reporter;
   private final MillisClock wallClock = MillisClock.utc();
@@ -107,6 +110,7 @@
             requestId,
             requestSize.sharedParts().stream()
                 .map(PromptPart::id)
+                .limit(MAX_REPORTED_PARTS)
                 .collect(ImmutableList.toImmutableList()),
             wallClock.nowMillis()));
     if (reports.size() == 1) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/CrashReporter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/CrashReporter.java
@@ -25,6 +25,9 @@
   /** Number of reports that wait while the control group cannot commit; later ones are dropped. */
   private static final int MAX_WAITING = 200;
 
+  /** Number of reports in one command, whose size is limited. */
+  private static final int MAX_REPORTS_PER_COMMAND = 20;
+
   private static final long COMMIT_TIMEOUT_MILLIS = 900;
   private static final long RETRY_DELAY_MILLIS = 100;
 
@@ -68,7 +71,8 @@
       return;
     }
     sending = true;
-    final List<CrashReport> sentLost = List.copyOf(lost);
+    final List<CrashReport> sentLost =
+        List.copyOf(lost.subList(0, Math.min(MAX_REPORTS_PER_COMMAND, lost.size())));
     final Set<ServicePart> sentAnswered = Set.copyOf(answered);
     byte[] command =
         SiteCodec.encodeCommand(
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/UpstreamLimitTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/UpstreamLimitTest.java
@@ -111,7 +111,7 @@
     for (GatewayFixture r : routers) {
       r.call("GET", "/safe/a", "", "");
     }
-    int before = limited.calls.size();
+    final int before = limited.calls.size();
     long startMillis = System.currentTimeMillis();
     String refused = "";
     for (int i = 0; i < MAX_TRIES && !refused.startsWith("HTTP/1.1 503 "); i++) {
