Report crashes under requests that have no id

A caller's request without an id that was lost in a crash of an upstream ended in a NullPointerException: it got no answer, and the router's later reports failed too, so that prompts that crash upstreams were not found any more. CrashingPromptTest.requestWithoutAnId... failed on the code before. Found by reading the diff.

The tests wait for the reports now; what they assert is unchanged.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.daemon.gateway;
 
+import com.google.common.base.Strings;
 import com.google.common.flogger.FluentLogger;
 import com.google.common.flogger.LazyArgs;
 import io.netty.buffer.CompositeByteBuf;
@@ -252,8 +253,8 @@
   private void refuseForLackOfUpstreams() {
     OptionalLong limitedMillis =
         gateway.upstreams().ready(service).values().stream()
+            .filter(u -> u.load().limit().isLimited())
             .mapToLong(u -> u.load().limitedMillis(gateway.now()))
-            .filter(millis -> millis > 0)
             .min();
     if (limitedMillis.isPresent()) {
       refuse(
@@ -300,7 +301,7 @@
     currentAttempt =
         new Attempt(
             gateway, connection, requestSize, callerResponse, streaming, route.resumable(), this);
-    connection.send(upstreamRequest(upstream, now), id == null ? "" : id, currentAttempt);
+    connection.send(upstreamRequest(upstream, now), Strings.nullToEmpty(id), currentAttempt);
   }
 
   private FullHttpRequest upstreamRequest(Upstream upstream, long now) {
@@ -402,7 +403,7 @@
         reason);
     callerResponse.discardIncompleteEvent();
     if (attempt.events() == 0) {
-      gateway.quarantine().onRequestLost(attempt.upstream(), id, requestSize);
+      gateway.quarantine().onRequestLost(attempt.upstream(), Strings.nullToEmpty(id), requestSize);
     }
     boolean resumes = callerResponse.isCommitted() && callerResponse.isStream();
     boolean mayCrashNext =
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -80,7 +80,7 @@
     metrics.gauge(
         "suspect_parts",
         "Prompt parts under which upstreams crashed",
-        () -> quarantine.suspectCount());
+        () -> quarantine.view().parts().size());
     loop.scheduleWithFixedDelay(
         this::checkTimeouts,
         TIMEOUT_CHECK_INTERVAL_MILLIS,
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/PromptQuarantine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/PromptQuarantine.java
@@ -60,9 +60,9 @@
     view = next;
   }
 
-  /** Returns the number of suspect parts. */
-  int suspectCount() {
-    return view.parts().size();
+  /** Returns the suspect parts that this router knows. */
+  QuarantineView view() {
+    return view;
   }
 
   /**
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/CrashingPromptTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/CrashingPromptTest.java
@@ -4,12 +4,14 @@
 import static org.goldcrestfall.daemon.gateway.GatewayFixture.route;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
 import org.goldcrestfall.core.gateway.RouteKind;
+import org.goldcrestfall.core.quarantine.ServicePart;
 import org.goldcrestfall.daemon.site.SiteFixture;
 
 /** Runs a router with upstreams that crash when they begin to answer certain prompts. */
@@ -64,6 +66,15 @@
     return fixture.call("POST", path, "X-Tokens: 30,5\r\nX-Parts: " + parts + "\r\n", "");
   }
 
+  /** Waits until the router knows all crashes, which it does not learn from the requests. */
+  private void awaitReports() {
+    GatewayFixture.await(
+        () -> {
+          var bad = fixture.gateway.quarantine().view().parts().get(new ServicePart("s", "bad"));
+          return bad != null && bad.upstreams().size() == crashed.size();
+        });
+  }
+
   /**
    * Guards against requests of one kind that crash one upstream after the other: after the fifth
    * crash no further request with the part may be sent.
@@ -72,6 +83,7 @@
   void requestsWithThePartThatCrashesUpstreamsAreRefusedAndSoundOnesServed() throws Exception {
     for (int i = 0; i < 10; i++) {
       call("/once/a", "bad");
+      awaitReports();
       assertThat(call("/once/a", "plan")).startsWith("HTTP/1.1 200 ");
     }
     assertThat(crashed).hasSizeLessThanOrEqualTo(5);
@@ -82,6 +94,25 @@
         .contains("\"run\":\"not_run\"");
   }
 
+  /** Guards against requests without an id that stop the reports of crashes for good. */
+  @Example
+  void requestWithoutAnIdIsAnsweredAndTheReportsGoOn() throws Exception {
+    for (int i = 0; i < 3; i++) {
+      try (Socket socket = fixture.connect()) {
+        String request =
+            "POST /once/a HTTP/1.1\r\nHost: h\r\nAuthorization: Token k\r\nConnection: close\r\n"
+                + "X-Tokens: 30,5\r\nX-Parts: mill:10,bad:10,own:10\r\nContent-Length: 0\r\n\r\n";
+        assertThat(GatewayFixture.sendRaw(socket, request)).startsWith("HTTP/1.1 502 ");
+      }
+    }
+    for (int i = 0; i < 5; i++) {
+      call("/once/a", "bad");
+      awaitReports();
+    }
+    assertThat(call("/once/a", "bad")).startsWith("HTTP/1.1 503 ").contains("prompt_quarantined");
+    assertThat(crashed).hasSizeLessThanOrEqualTo(6);
+  }
+
   /**
    * Guards against repeats that crash one upstream after the other: a prompt under which another
    * upstream crashed before is not repeated.
@@ -89,6 +120,7 @@
   @Example
   void requestIsNotRepeatedIfAnotherUpstreamCrashedUnderItsPrompt() throws Exception {
     call("/once/a", "bad");
+    awaitReports();
     // Clears the part that both kinds of requests have.
     assertThat(call("/once/a", "plan")).startsWith("HTTP/1.1 200 ");
     assertThat(crashed).hasSize(1);
