Take crashes in quick succession for no outage

An outage now is a series of crashes that lasts 200 ms at most. Longer series count as single crashes. PartQuarantineTest. crashesInQuickSuccessionAreNoOutage failed on the code before; the test of simultaneous crashes is unchanged.

--- a/core/src/main/java/org/goldcrestfall/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/goldcrestfall/core/quarantine/PartQuarantine.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -31,9 +32,12 @@
   /** Number of requests with a part that must have been lost, so that none is blamed alone. */
   static final int MIN_REQUESTS = 2;
 
-  /** Time within which the crashes of several upstreams count as simultaneous. */
+  /** Time between two crashes up to which these may have the same cause outside the requests. */
   static final long SIMULTANEOUS_MILLIS = 100;
 
+  /** Duration of a series of such crashes from which on these are no outage. */
+  static final long MAX_OUTAGE_MILLIS = 200;
+
   /**
    * Number of simultaneous crashes from which on these are taken for an outage that has nothing to
    * do with the requests.
@@ -147,17 +151,27 @@
         });
   }
 
-  /** Returns whether several upstreams of the service crashed at the time of this crash. */
-  private boolean isOutage(CrashReport crash) {
-    List<CrashReport> simultaneous = new ArrayList<>();
+  /** Returns whether a crash is one of several of the service that happened at the same time. */
+  private boolean isOutage(CrashReport report) {
+    Map<Crash, Long> times = new HashMap<>();
     for (CrashReport r : reports) {
-      if (r.service().equals(crash.service())
-          && Math.abs(r.atMillis() - crash.atMillis()) <= SIMULTANEOUS_MILLIS
-          && simultaneous.stream().noneMatch(r::isSameCrash)) {
-        simultaneous.add(r);
+      if (r.service().equals(report.service())) {
+        times.merge(new Crash(r.upstream(), r.startedAtMillis()), r.atMillis(), Math::min);
       }
     }
-    return simultaneous.size() >= OUTAGE_CRASHES;
+    long crashedAtMillis = times.get(new Crash(report.upstream(), report.startedAtMillis()));
+    List<Long> sorted = times.values().stream().sorted().toList();
+    int first = sorted.indexOf(crashedAtMillis);
+    int last = first;
+    while (first > 0 && sorted.get(first) - sorted.get(first - 1) <= SIMULTANEOUS_MILLIS) {
+      first--;
+    }
+    while (last + 1 < sorted.size()
+        && sorted.get(last + 1) - sorted.get(last) <= SIMULTANEOUS_MILLIS) {
+      last++;
+    }
+    return last - first + 1 >= OUTAGE_CRASHES
+        && sorted.get(last) - sorted.get(first) <= MAX_OUTAGE_MILLIS;
   }
 
   private static boolean concerns(CrashReport report, ServicePart part) {
--- a/core/src/test/java/org/goldcrestfall/core/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/quarantine/PartQuarantineTest.java
@@ -124,6 +124,19 @@
     assertThat(refusedParts()).isEmpty();
   }
 
+  /**
+   * Guards against a part that crashes all upstreams within half a second being taken for an
+   * outage: it would crash each of them again when they are back.
+   */
+  @Example
+  void crashesInQuickSuccessionAreNoOutage() {
+    for (int u = 1; u <= 7; u++) {
+      crash("u" + u, 1_000 + 50 * u, "workspace", "bad");
+      answer("workspace", 1_010 + 50 * u);
+    }
+    assertThat(refusedParts()).containsExactly("bad");
+  }
+
   @Example
   void crashesUnderRepeatsOfOneRequestBlameNoSharedPart() {
     for (int u = 1; u <= 4; u++) {
