Keep parts refused when the crashes under them are no longer kept

Only the last 200 reports of lost requests are kept. Two parts whose crashes had been dropped counted as lost in the same crashes, none, so they would have been refused only in requests that have both, and engines would have crashed again. Parts without a kept crash have no relation to others now. PartQuarantineTest.partsStayRefused... failed on the code before.

--- a/core/src/main/java/org/goldcrestfall/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/goldcrestfall/core/quarantine/PartQuarantine.java
@@ -142,7 +142,8 @@
     convicted.forEach(
         (part, crashes) -> {
           for (Map.Entry<ServicePart, Set<Crash>> other : convicted.entrySet()) {
-            if (other.getKey().service().equals(part.service())
+            if (!crashes.isEmpty()
+                && other.getKey().service().equals(part.service())
                 && other.getValue().size() > crashes.size()
                 && other.getValue().containsAll(crashes)) {
               quarantined.remove(part);
@@ -207,7 +208,8 @@
     ImmutableSet.Builder<String> out = ImmutableSet.builder();
     convicted.forEach(
         (other, crashes) -> {
-          if (!other.equals(part)
+          if (!crashes.isEmpty()
+              && !other.equals(part)
               && other.service().equals(part.service())
               && crashes.equals(convicted.get(part))) {
             out.add(other.part());
--- a/core/src/test/java/org/goldcrestfall/core/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/quarantine/PartQuarantineTest.java
@@ -124,6 +124,25 @@
     assertThat(refusedParts()).isEmpty();
   }
 
+  /**
+   * Guards against sending prompts that crash upstreams again after many other requests were lost:
+   * two parts whose crashes are no longer kept must not be refused only together.
+   */
+  @Example
+  void partsStayRefusedWhenTheirCrashesAreNoLongerKept() {
+    for (int u = 1; u <= 3; u++) {
+      crash("u" + u, 1_000 * u, "bad1");
+    }
+    for (int u = 4; u <= 6; u++) {
+      crash("u" + u, 1_000 * u, "bad2");
+    }
+    for (int i = 0; i < 1_000; i++) {
+      crash("v" + i, 7_000 + i, "sound" + i);
+    }
+    assertThat(refuses("bad1")).isTrue();
+    assertThat(refuses("bad2")).isTrue();
+  }
+
   /**
    * Guards against a part that crashes all upstreams within half a second being taken for an
    * outage: it would crash each of them again when they are back.
