--- a/core/src/test/java/org/goldcrestfall/core/quarantine/PartQuarantineTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/quarantine/PartQuarantineTest.java
@@ -192,7 +192,7 @@
    * prompts with it: the sound ones are answered between the crashes.
    */
   @Property(tries = 300)
-  void onlyTheDeadlyPartIsRefusedAndWithinFiveCrashes(
+  void onlyThePartThatCrashesUpstreamsIsRefusedWithinFiveCrashes(
       @ForAll Random random, @ForAll @IntRange(min = 1, max = 6) int soundParts) {
     PartQuarantine q = new PartQuarantine();
     long now = 1_000;
