Let an only voter wait for its vote to be synced

A group of one member could stay without a leader: each tick began a new term, and the vote of the term before, synced a little later, was void. Now a candidate that is the only voter waits for its election timeout. Groups of more voters behave as before.

--- a/core/src/main/java/org/goldcrestfall/core/consensus/Election.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Election.java
@@ -19,8 +19,10 @@
     if (replica.role == Role.LEADER || !replica.writable || !members.isVoter(replica.self)) {
       return;
     }
-    // The only voter cannot have granted a lease to another leader, so it need not wait.
-    if (replica.now < replica.electionDueAt && members.voters().count() > 1) {
+    // The only voter cannot have granted a lease to another leader, so it need not wait. Once it is
+    // a candidate, a new term before its vote is synced would make that vote void.
+    boolean mustWait = members.voters().count() > 1 || replica.role == Role.CANDIDATE;
+    if (replica.now < replica.electionDueAt && mustWait) {
       return;
     }
     replica.resetElectionTimeout();
