--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Three of five routers are killed at the same moment and are back 3.5 s later.
+# The leading core machine is replaced as planned; CatchUpS later two others lose their disks.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 cd "$(dirname "$0")/../.." || exit 2
-exec java -Xmx256m -cp review/target KilledRouters "$PWD" "$PWD/review/4/record.txt"
+exec java -Xmx256m -cp review/target ReplacedThenWiped "$PWD" "$PWD/review/4/record.txt"
