--- a/review/standin/KilledRouters.java
+++ b/review/standin/KilledRouters.java
@@ -26,6 +26,8 @@
   private static final long KILL_AFTER_MILLIS = 8_000;
   private static final long DARK_MILLIS = 3_500;
   private static final long CONTACT_MILLIS = 3_000;
+  private static final int KILLED = 3;
+  private static final double BUSY_SHARE = 0.6;
 
   /** Share of the total up to which a request is owed. */
   private static final double OWED_SHARE = 0.97;
@@ -121,7 +123,7 @@
   private void killRouters() {
     try {
       Thread.sleep(KILL_AFTER_MILLIS);
-      List<Fleet.Node> killed = fleet.routers().subList(0, 3);
+      List<Fleet.Node> killed = fleet.routers().subList(0, KILLED);
       for (Fleet.Node n : killed) {
         startedAt.remove(n);
         n.kill();
@@ -155,6 +157,15 @@
     Worker.write(out, "0\r\n\r\n");
   }
 
+  /** Selects a router; the platform's shares are uneven, and the first three get most clients. */
+  private Fleet.Node select(List<Fleet.Node> running) {
+    List<Fleet.Node> busy = fleet.routers().subList(0, KILLED);
+    List<Fleet.Node> preferred = running.stream().filter(busy::contains).toList();
+    List<Fleet.Node> others =
+        preferred.isEmpty() || Math.random() > BUSY_SHARE ? running : preferred;
+    return others.get((int) (Math.random() * others.size()));
+  }
+
   /** Sends one request to a router that runs and is ready. */
   private void request() {
     List<Fleet.Node> running =
@@ -163,7 +174,7 @@
       return;
     }
     String id = "q" + sent.incrementAndGet();
-    Fleet.Node router = running.get((int) (Math.random() * running.size()));
+    Fleet.Node router = select(running);
     long most = used.get() + open.incrementAndGet() * (long) (PROMPT_TOKENS + MAX_OUTPUT_TOKENS);
     try (Socket s = Http.connect(router.ip, fleet.frontPort, 1_000)) {
       s.setSoTimeout(12_000);
