--- a/review/standin/Fleet.java
+++ b/review/standin/Fleet.java
@@ -117,7 +117,7 @@
       int base = 11_000 + random.nextInt(20_000);
       boolean free = true;
       for (int i = 0; i < 20 && free; i++) {
-        try (ServerSocket s = new ServerSocket(base + i, 1, InetAddress.getByName("0.0.0.0"))) {
+        try (ServerSocket s = new ServerSocket(base + i, 1, InetAddress.getByName(address(1)))) {
           free = s.isBound();
         } catch (IOException e) {
           free = false;
@@ -143,8 +143,11 @@
   }
 
   String nextAddress() {
-    addresses++;
-    return "127." + network + ".0." + addresses;
+    return address(++addresses);
+  }
+
+  private String address(int number) {
+    return "127." + network + ".0." + number;
   }
 
   Node add(String name, String zone, String role) throws IOException {
@@ -200,6 +203,7 @@
 
   /** Sends a configuration to the control daemons until one acknowledges it. */
   boolean configure(String document, long timeoutMillis) throws InterruptedException {
+    record.log("operator: sends %s", document);
     long end = System.nanoTime() + timeoutMillis * 1_000_000;
     for (int i = 0; System.nanoTime() < end; i++) {
       Node n = controls().get(i % controls().size());
--- a/review/standin/KilledRouters.java
+++ b/review/standin/KilledRouters.java
@@ -26,6 +26,7 @@
   private static final long KILL_AFTER_MILLIS = 8_000;
   private static final long DARK_MILLIS = 3_500;
   private static final long CONTACT_MILLIS = 3_000;
+  private static final long SETTLE_MILLIS = 1_500;
   private static final int KILLED = 3;
   private static final double BUSY_SHARE = 0.6;
 
@@ -36,7 +37,10 @@
   private final Recorder record;
   private final Map<Fleet.Node, Long> startedAt = new ConcurrentHashMap<>();
   private final AtomicLong used = new AtomicLong();
-  private final AtomicInteger open = new AtomicInteger();
+
+  /** Requests that are open or ended less than SETTLE_MILLIS ago, which count at their most. */
+  private final AtomicInteger unsettled = new AtomicInteger();
+
   private final AtomicInteger served = new AtomicInteger();
   private final AtomicInteger denied = new AtomicInteger();
   private final AtomicInteger sent = new AtomicInteger();
@@ -175,7 +179,8 @@
     }
     String id = "q" + sent.incrementAndGet();
     Fleet.Node router = select(running);
-    long most = used.get() + open.incrementAndGet() * (long) (PROMPT_TOKENS + MAX_OUTPUT_TOKENS);
+    long most =
+        used.get() + unsettled.incrementAndGet() * (long) (PROMPT_TOKENS + MAX_OUTPUT_TOKENS);
     try (Socket s = Http.connect(router.ip, fleet.frontPort, 1_000)) {
       s.setSoTimeout(12_000);
       String head =
@@ -185,9 +190,11 @@
               + MAX_OUTPUT_TOKENS + "\r\nGoldcrestfall-Prompt-Prefix: aa:500," + id.substring(1)
               + "0:1500\r\nContent-Length: 2\r\n\r\nhi";
       s.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+      record.log("client: %s is sent to %s", id, router.name);
       Http.Message m = Http.readResponse(s.getInputStream());
       if (m.status() == 200) {
         served.incrementAndGet();
+        record.log("client: %s is answered with 200, %s", id, m.complete() ? "whole" : "cut");
         return;
       }
       Long since = startedAt.get(router);
@@ -203,7 +210,8 @@
     } catch (IOException e) {
       record.log("client: %s at %s: %s", id, router.name, e.getMessage());
     } finally {
-      open.decrementAndGet();
+      Worker.sleep(SETTLE_MILLIS);
+      unsettled.decrementAndGet();
     }
   }
 }
--- a/review/standin/RollingRestart.java
+++ b/review/standin/RollingRestart.java
@@ -187,14 +187,17 @@
               + "\r\nGoldcrestfall-Deadline: 12000\r\nContent-Length: 2\r\n\r\nhi";
       sentAt = record.millis();
       s.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+      record.log("client: %s is sent to %s", id, target.node.name);
       Http.Message m = Http.readResponse(s.getInputStream());
       long events = m.text().lines().filter(l -> l.startsWith("id: ")).count();
       if (m.status() == 200 && m.complete() && events == EVENTS) {
         complete.incrementAndGet();
+        record.log("client: %s is answered in full", id);
         return;
       }
       if (m.status() == 503 && m.complete()) {
         refused.incrementAndGet();
+        record.log("client: %s is refused with 503", id);
         return;
       }
       outcome = m.status() + ", " + events + " events, then the connection ended";
--- a/review/standin/SlowReader.java
+++ b/review/standin/SlowReader.java
@@ -75,6 +75,7 @@
               + "\r\nGoldcrestfall-Deadline: " + TIMEOUT_MILLIS
               + "\r\nContent-Length: 2\r\n\r\nhi";
       socket.getOutputStream().write(head.getBytes(StandardCharsets.ISO_8859_1));
+      record.log("client: %s is sent to %s", id, router.name);
     }
 
     /** Reads the begin of the answer; returns whether it came in time. */
@@ -84,6 +85,7 @@
       try {
         int n = socket.getInputStream().read(buffer);
         begun = java.util.Arrays.copyOf(buffer, Math.max(0, n));
+        record.log("client: the answer to %s begins", id);
         return n > 0;
       } catch (java.net.SocketTimeoutException e) {
         return false;
