Refuse requests that may outlast a stopping router

Cause: Exchange.start had no check for a stop, so a stopping router that the load balancer still selects took requests until it exited, 7.3 s after the SIGTERM, and cut those still open. PlatformDaemon.drain gave no response to open requests at its end, even where none had begun.

Change: DrainSchedule. At the end the listener is closed, open requests get a response where none has begun, and no further request is read.

Tests: DrainScheduleTest, DrainingRouterTest. With admits() always true and an empty stop(), 3 of the 4 examples of DrainingRouterTest failed.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -245,6 +245,18 @@
     }
   }
 
+  /** Ends the open request, if any, and closes the connection without reading another one. */
+  void stop() {
+    if (exchange != null) {
+      exchange.onRouterStop();
+    }
+    channel.config().setAutoRead(false);
+    if (!closing) {
+      closing = true;
+      channel.close();
+    }
+  }
+
   /** Closes an idle connection, and refuses a request whose next bytes do not arrive in time. */
   void checkTimeouts(long now) {
     if (exchange != null || closing) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -47,6 +47,9 @@
   /** Minimum Retry-After of a refusal for lack of capacity; jitter adds up to as much again. */
   private static final long RETRY_AFTER_MILLIS = 400;
 
+  /** Minimum Retry-After of a refusal by a stopping router; the retry reaches another router. */
+  private static final long DRAINING_RETRY_AFTER_MILLIS = 50;
+
   /** Number of upstreams that may refuse a permit before those that state a limit are left out. */
   private static final int MAX_PERMIT_REFUSALS = 3;
 
@@ -106,6 +109,10 @@
       refuse(ErrorKind.UNAUTHENTICATED, "The key is not known.", 0);
       return;
     }
+    if (!gateway.admits(remainingMillis(gateway.now()))) {
+      refuseAsDraining();
+      return;
+    }
     service = route.serviceFor(ThreadLocalRandom.current().nextLong(Long.MAX_VALUE));
     serviceSettings = Optional.ofNullable(configuration.services().get(service));
     long remainingMillis = startedAtMillis + route.timeoutMillis() - gateway.now();
@@ -339,7 +346,11 @@
   }
 
   private static long jitteredRetryAfterMillis() {
-    return RETRY_AFTER_MILLIS + ThreadLocalRandom.current().nextLong(RETRY_AFTER_MILLIS);
+    return jittered(RETRY_AFTER_MILLIS);
+  }
+
+  private static long jittered(long millis) {
+    return millis + ThreadLocalRandom.current().nextLong(millis);
   }
 
   /** Returns whether one more attempt is allowed, and if so counts it as a retry. */
@@ -457,19 +468,35 @@
   }
 
   private void onTimeout() {
-    if (done) {
-      return;
+    if (!done && !endSentRequest("the timeout of the route expired")) {
+      refuse(ErrorKind.DEADLINE_UNREACHABLE, "The request could not be sent in time.", 0);
     }
+  }
+
+  /** Ends the request because the router stops; a response that has begun is cut off. */
+  void onRouterStop() {
+    if (!done && !endSentRequest("the router stopped")) {
+      refuseAsDraining();
+    }
+  }
+
+  /** Ends a request that an upstream may have begun to run, and returns whether it is one. */
+  private boolean endSentRequest(String reason) {
     if (currentAttempt != null) {
       currentAttempt.cancel();
     }
     if (callerResponse.isCommitted()) {
-      abort("the timeout of the route has expired");
+      abort(reason);
     } else if (mayHaveRun()) {
-      fail(ErrorKind.DEADLINE_EXCEEDED, "The upstream did not answer in time.");
+      fail(ErrorKind.DEADLINE_EXCEEDED, "No response arrived before " + reason + ".");
     } else {
-      refuse(ErrorKind.DEADLINE_UNREACHABLE, "The request could not be sent in time.", 0);
+      return false;
     }
+    return true;
+  }
+
+  private void refuseAsDraining() {
+    refuse(ErrorKind.DRAINING, "This router is stopping.", jittered(DRAINING_RETRY_AFTER_MILLIS));
   }
 
   /** Cancels the request after the caller has closed its connection. */
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -11,6 +11,7 @@
 import org.goldcrestfall.core.dispatch.ExpectedWaitSelector;
 import org.goldcrestfall.core.dispatch.UpstreamSelector;
 import org.goldcrestfall.core.gateway.ClientLimits;
+import org.goldcrestfall.core.gateway.DrainSchedule;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
 import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.registry.UpstreamEntry;
@@ -45,8 +46,9 @@
   private GatewayConfiguration configuration;
   private long bufferedBytes;
   private int openExchanges;
-  private boolean draining;
+  private DrainSchedule drainSchedule;
   private boolean closingIdle;
+  private boolean stopped;
 
   /** Creates the request path; call {@link #attach} before the first request arrives. */
   public Gateway(
@@ -112,13 +114,18 @@
 
   /** Returns whether requests can be served. */
   public boolean isReady() {
-    return !draining && configuration != null && !upstreams.isEmpty();
+    return drainSchedule == null && configuration != null && !upstreams.isEmpty();
   }
 
-  /** Starts draining: each response from now on closes its connection, so that callers leave. */
-  public void startDraining() {
-    draining = true;
-    logger.atInfo().log("drain: %s requests are open", openExchanges);
+  /**
+   * Starts draining: each response from now on closes its connection, so that callers leave, and a
+   * request that may outlast the schedule is refused.
+   */
+  public void startDraining(DrainSchedule schedule) {
+    drainSchedule = schedule;
+    logger.atInfo().log(
+        "drain: %s requests are open, the rest ends in %s ms",
+        openExchanges, schedule.endMillis() - now());
   }
 
   /** Closes connections without a request now, and the others when their request has ended. */
@@ -127,13 +134,28 @@
     Set.copyOf(clients).forEach(ClientConnection::closeIfIdle);
   }
 
+  /**
+   * Ends all requests that are open, each with a response if none has begun, and closes all
+   * connections without reading further requests.
+   */
+  public void stop() {
+    stopped = true;
+    logger.atInfo().log("drain: %s requests are open at the end", openExchanges);
+    Set.copyOf(clients).forEach(ClientConnection::stop);
+  }
+
   /** Returns the number of requests that have no complete response yet. */
   public int openExchanges() {
     return openExchanges;
   }
 
   boolean isDraining() {
-    return draining;
+    return drainSchedule != null;
+  }
+
+  /** Returns whether a request that ends within {@code limitMillis} may be served. */
+  boolean admits(long limitMillis) {
+    return !stopped && (drainSchedule == null || drainSchedule.admits(now(), limitMillis));
   }
 
   boolean isClosingIdle() {
@@ -150,6 +172,9 @@
 
   void clientConnected(ClientConnection client) {
     clients.add(client);
+    if (stopped) {
+      client.stop();
+    }
   }
 
   void clientDisconnected(ClientConnection client) {
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/DrainingRouterTest.java
@@ -0,0 +1,88 @@
+package org.goldcrestfall.daemon.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.goldcrestfall.daemon.gateway.GatewayFixture.route;
+
+import java.io.IOException;
+import java.net.Socket;
+import java.util.concurrent.CompletableFuture;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.goldcrestfall.core.gateway.RouteKind;
+
+/** Guards against requests that a router takes after it was told to stop, and then cuts off. */
+class DrainingRouterTest {
+
+  private static final String SIGNED = "X-Signature: sig\r\n";
+
+  private GatewayFixture fixture;
+
+  @BeforeTry
+  void open() throws Exception {
+    fixture = new GatewayFixture();
+    fixture.configure(
+        route("/unsafe/", RouteKind.UNSAFE, 3_000, 1, false),
+        route("/long/", RouteKind.UNSAFE, 12_000, 1, false));
+  }
+
+  @AfterTry
+  void close() throws Exception {
+    fixture.close();
+  }
+
+  private CompletableFuture<String> callLater(String path, String headers) {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          try {
+            return fixture.call("POST", path, headers, "");
+          } catch (IOException e) {
+            return "no response: " + e.getMessage();
+          }
+        });
+  }
+
+  @Example
+  void requestThatMayOutlastTheRouterIsRefusedAsNotRunAndNotSent() throws Exception {
+    ScriptedUpstream u = fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    fixture.startDraining(0, 5_000);
+    assertThat(fixture.call("POST", "/long/a", "", ""))
+        .startsWith("HTTP/1.1 503 ")
+        .containsIgnoringCase("retry-after: 0.")
+        .containsIgnoringCase("connection: close")
+        .contains("\"kind\":\"draining\"")
+        .contains("\"run\":\"not_run\"");
+    assertThat(u.calls).isEmpty();
+  }
+
+  @Example
+  void requestWhoseTimeLimitEndsBeforeTheRouterIsServed() throws Exception {
+    fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    fixture.startDraining(0, 5_000);
+    assertThat(fixture.call("POST", "/unsafe/a", "", "")).startsWith("HTTP/1.1 200 ");
+    assertThat(fixture.call("POST", "/long/a", "X-Remaining: 2000\r\n", ""))
+        .startsWith("HTTP/1.1 200 ");
+  }
+
+  @Example
+  void requestThatIsOpenWhenTheRouterStopsGetsResponse() throws Exception {
+    ScriptedUpstream silent = fixture.addUpstream("u1", c -> {});
+    CompletableFuture<String> sent = callLater("/long/a", "");
+    GatewayFixture.await(() -> !silent.calls.isEmpty());
+    fixture.startDraining(1_000, 5_000);
+    fixture.runOnLoop(fixture.gateway::stop);
+    assertThat(sent.get()).startsWith("HTTP/1.1 504 ").endsWith("}}\n");
+    assertThat(fixture.gateway.openExchanges()).isZero();
+  }
+
+  @Example
+  void stoppedRouterClosesConnectionsWithoutReadingRequests() throws Exception {
+    ScriptedUpstream u = fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    try (Socket idle = fixture.connect()) {
+      fixture.startDraining(1_000, 5_000);
+      fixture.runOnLoop(fixture.gateway::stop);
+      assertThat(idle.getInputStream().read()).isEqualTo(-1);
+    }
+    assertThat(u.calls).isEmpty();
+  }
+}
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -23,6 +23,7 @@
 import java.util.function.Supplier;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.gateway.ClientLimits;
+import org.goldcrestfall.core.gateway.DrainSchedule;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
 import org.goldcrestfall.core.gateway.Route;
 import org.goldcrestfall.core.gateway.RouteKind;
@@ -157,6 +158,15 @@
     return new UpstreamEntry(id, "s", upstreams.get(id).address(), "z", state, 4, 1, 1, 0);
   }
 
+  /** Starts to drain the router; see {@link DrainSchedule} for the times, counted from now. */
+  void startDraining(long removedAfterMillis, long endsAfterMillis) throws Exception {
+    runOnLoop(
+        () -> {
+          long now = gateway.now();
+          gateway.startDraining(new DrainSchedule(now + removedAfterMillis, now + endsAfterMillis));
+        });
+  }
+
   /** Starts to watch the control daemons, whose configuration is ignored. */
   void joinSite() {
     site.start();
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -403,7 +403,7 @@
   void drainingRouterRespondsWithConnectionClose() throws Exception {
     fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
     try (Socket socket = fixture.connect()) {
-      fixture.runOnLoop(fixture.gateway::startDraining);
+      fixture.startDraining(3_000, 8_000);
       assertThat(fixture.gateway.isReady()).isFalse();
       String response =
           GatewayFixture.sendRaw(
