--- a/core/src/main/java/org/goldcrestfall/core/consensus/Follower.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Follower.java
@@ -156,6 +156,7 @@
       lastRound = 0;
     }
     replica.leaderHeardAt = replica.now;
+    replica.lastLeaderId = leaderId;
     replica.resetElectionTimeout();
   }
 
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Leader.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Leader.java
@@ -142,7 +142,7 @@
     if (p == null || m.term() != replica.term()) {
       return;
     }
-    p.ackedAtMillis = replica.now;
+    p.recordReply(replica.now);
     if (p.snapshot == null || p.snapshot.lastIndex() != m.lastIndex()) {
       return;
     }
@@ -193,11 +193,17 @@
     for (Member m : members().all()) {
       if (!m.id().equals(replica.self)) {
         progressById.computeIfAbsent(
-            m.id(), id -> new Progress(replica.log.lastIndex(), replica.now));
+            m.id(),
+            id -> new Progress(replica.log.lastIndex(), replica.now, silentSinceMillis(id)));
       }
     }
   }
 
+  /** The previous leader was last heard before the election, and all others at the vote. */
+  private long silentSinceMillis(String id) {
+    return id.equals(replica.lastLeaderId) ? replica.leaderHeardAt : replica.now;
+  }
+
   private void heartbeat() {
     roundSentAt.put(++round, replica.now);
     nextHeartbeatAt = replica.now + replica.timing.heartbeatMillis();
@@ -276,7 +282,7 @@
   }
 
   private void recordAcknowledgement(Progress p, long ackedRound) {
-    p.ackedAtMillis = replica.now;
+    p.recordReply(replica.now);
     p.ackedRound = Math.max(p.ackedRound, ackedRound);
     extendLeaseAndReleaseReads();
   }
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Membership.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Membership.java
@@ -12,8 +12,12 @@
  */
 final class Membership {
 
-  /** Time without a reply after which a voter of an open group counts as lost. */
-  private static final long LOST_VOTER_MILLIS = 4_000;
+  /**
+   * Time without a message after which a voter of an open group counts as lost. A voter that is
+   * removed too early joins again, but until a dead one is removed, the group tolerates one failure
+   * fewer.
+   */
+  private static final long LOST_VOTER_MILLIS = 1_500;
 
   private final Replica replica;
   private final Leader leader;
@@ -70,8 +74,7 @@
     if (!replica.policy.openMembership() || members().voters().count() % 2 != 0) {
       return;
     }
-    Optional<Member> lost =
-        members().voters().filter(v -> isUnresponsiveFor(v, LOST_VOTER_MILLIS)).findFirst();
+    Optional<Member> lost = members().voters().filter(this::isLost).findFirst();
     lost.ifPresent(m -> leader.changeMembers(members().without(m.id())));
   }
 
@@ -86,12 +89,13 @@
 
   /** Returns whether a member is this one or has replied within the shortest election timeout. */
   private boolean isResponsive(Member member) {
-    return !isUnresponsiveFor(member, replica.timing.electionMinMillis());
+    Progress p = leader.progress(member.id());
+    return p == null || p.ackedAtMillis + replica.timing.electionMinMillis() > replica.now;
   }
 
-  private boolean isUnresponsiveFor(Member member, long millis) {
+  private boolean isLost(Member member) {
     Progress p = leader.progress(member.id());
-    return p != null && p.ackedAtMillis + millis <= replica.now;
+    return p != null && p.silentSinceMillis + LOST_VOTER_MILLIS <= replica.now;
   }
 
   private Members members() {
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Progress.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Progress.java
@@ -24,14 +24,27 @@
   /** The time of the last reply, initially that of the creation of this object. */
   long ackedAtMillis;
 
+  /**
+   * The time from which on the member has been silent: that of its last reply, or of its last
+   * message as the previous leader.
+   */
+  long silentSinceMillis;
+
   /** The snapshot that is being transferred, or null. */
   Snapshot snapshot;
 
   /** The offset of the snapshot chunk in flight, in bytes. */
   int snapshotOffset;
 
-  Progress(long nextIndex, long nowMillis) {
+  Progress(long nextIndex, long nowMillis, long silentSinceMillis) {
     this.nextIndex = nextIndex;
+    this.silentSinceMillis = silentSinceMillis;
+    ackedAtMillis = nowMillis;
+  }
+
+  /** Records a reply of the member. */
+  void recordReply(long nowMillis) {
     ackedAtMillis = nowMillis;
+    silentSinceMillis = nowMillis;
   }
 }
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Replica.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Replica.java
@@ -55,6 +55,9 @@
   /** The time of the last message from a leader. */
   long leaderHeardAt;
 
+  /** The id of the member that sent that message, or an empty string before the first one. */
+  String lastLeaderId = "";
+
   /** The time at which this member starts an election unless a leader contacts it earlier. */
   long electionDueAt;
 
