Log the members of the control group when they change

The logs of control daemons named leaders, not members, so they could not tell whether a dead voter had been removed too late or never.

--- a/core/src/main/java/org/goldcrestfall/core/consensus/Members.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Members.java
@@ -9,6 +9,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.ToLongFunction;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 
 /** The member list of a group; immutable. */
@@ -97,4 +98,12 @@
   public Members without(String id) {
     return of(all.stream().filter(m -> !m.id().equals(id)).toList());
   }
+
+  /** Returns the ids for a log line; those of learners are in parentheses. */
+  @Override
+  public String toString() {
+    return all.stream()
+        .map(m -> m.voter() ? m.id() : "(" + m.id() + ")")
+        .collect(Collectors.joining(" ", "[", "]"));
+  }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlReplica.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlReplica.java
@@ -406,6 +406,11 @@
             "consensus: %s is %s in term %d; leader: %s",
             status.memberId(), status.role(), status.term(), status.leaderAddress());
       }
+      if (!before.members().equals(status.members())) {
+        logger.atInfo().log(
+            "consensus: %s has the members %s at index %d",
+            status.memberId(), status.members(), status.lastIndex());
+      }
       listeners.forEach(l -> l.accept(status));
     }
   }
