Shrink control groups that are larger than they need to be

Cause: both successors become voters before the old daemons end. Seven voters are an odd number, and Membership.removeLostVoter removed dead voters from even groups only, so both stayed for good and the quorum was four of five.

Change: an odd group with two lost voters removes one and then, being even, the other, as long as the rest tolerates the loss of as many disks as the policy states (GroupPolicy.minVoters).

--- a/core/src/main/java/org/goldcrestfall/core/consensus/GroupPolicy.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/GroupPolicy.java
@@ -29,4 +29,12 @@
   public static GroupPolicy openGroup(int lostDisks) {
     return new GroupPolicy(lostDisks + 1, false, true);
   }
+
+  /**
+   * Returns the smallest number of voters that still have a quorum after the loss of as many disks
+   * as acknowledged commands survive.
+   */
+  int minVoters() {
+    return 2 * durableCopies - 1;
+  }
 }
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Membership.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Membership.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.core.consensus;
 
+import java.util.List;
 import java.util.Optional;
 import java.util.TreeMap;
 
@@ -66,16 +67,22 @@
   }
 
   /**
-   * Removes a lost voter from an open group with an even number of voters. Such a group tolerates
-   * no more failures than one with one voter fewer. A group with an odd number keeps its lost
-   * voters until a new host has joined.
+   * Removes a lost voter from an open group if that costs no tolerance of failures. A group with an
+   * even number of voters tolerates no more failures than one with one voter fewer. A group with an
+   * odd number is only shrunk by two, and not below the size that the policy requires; otherwise it
+   * keeps its lost voters until a new host has joined.
    */
   private void removeLostVoter() {
-    if (!replica.policy.openMembership() || members().voters().count() % 2 != 0) {
+    if (!replica.policy.openMembership()) {
       return;
     }
-    Optional<Member> lost = members().voters().filter(this::isLost).findFirst();
-    lost.ifPresent(m -> leader.changeMembers(members().without(m.id())));
+    long voters = members().voters().count();
+    List<Member> lost = members().voters().filter(this::isLost).toList();
+    boolean even = voters % 2 == 0;
+    boolean tooLarge = lost.size() >= 2 && voters - 2 >= replica.policy.minVoters();
+    if (!lost.isEmpty() && (even || tooLarge)) {
+      leader.changeMembers(members().without(lost.get(0).id()));
+    }
   }
 
   private boolean isCaughtUp(Member learner) {
--- a/core/src/test/java/org/goldcrestfall/core/consensus/ReplacedMembersTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/ReplacedMembersTest.java
@@ -54,4 +54,26 @@
     group.run(CATCH_UP_MILLIS);
     loseTwoDisksAndRecover(group);
   }
+
+  @Property(tries = 20, seed = "7402", shrinking = ShrinkingMode.OFF)
+  void twoDisksMayBeLostAfterTwoHostsWereReplacedAtOnce(@ForAll long seed) {
+    FakeGroup group = groupWithSuccessors(2, seed);
+    List<FakeHost> replaced = new ArrayList<>(group.hosts.subList(0, FOUNDERS));
+    Collections.shuffle(replaced, group.random);
+    replaced.get(0).kill(0);
+    group.run(500);
+    replaced.get(1).kill(0);
+    group.run(CATCH_UP_MILLIS);
+    loseTwoDisksAndRecover(group);
+  }
+
+  /** Two lost hosts that nobody replaces keep their votes: five voters tolerate two lost disks. */
+  @Property(tries = 10, seed = "7403", shrinking = ShrinkingMode.OFF)
+  void groupDoesNotShrinkBelowTheSizeThatToleratesTheLosses(@ForAll long seed) {
+    FakeGroup group = groupWithSuccessors(0, seed);
+    group.hosts.get(0).kill(0);
+    group.hosts.get(1).kill(0);
+    group.run(2 * CATCH_UP_MILLIS);
+    assertThat(group.leader().consensus.members().voters()).hasSize(FOUNDERS);
+  }
 }
