--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
@@ -14,9 +14,12 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.registry.UpstreamAddress;
 import org.goldcrestfall.core.registry.UpstreamEntry;
+import org.goldcrestfall.core.registry.UpstreamState;
 
 /** The ready upstreams of all services, and connections to them. Confined to the event loop. */
 final class UpstreamConnections {
@@ -48,6 +51,12 @@
 
   /** Applies a new or changed entry. */
   void update(UpstreamEntry entry) {
+    if (entry.state() != UpstreamState.GONE && !UpstreamAddress.isValid(entry.address())) {
+      logger.atWarning().atMostEvery(1, TimeUnit.SECONDS).log(
+          "upstream: ignored %s with the address '%s', expected an IP address and port",
+          entry.id(), entry.address());
+      return;
+    }
     Upstream upstream = upstreams.get(entry.id());
     boolean sameIncarnation =
         upstream != null
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
@@ -169,8 +169,7 @@
         registryEpoch = update.getRegistryEpoch();
         registryChange = update.getRegistryChange();
         daemonsChange = update.getDaemonsChange();
-        daemons.apply(index, SiteCodec.decodeDaemons(update));
-        applyUpdate(update);
+        applySafely(update);
         if (update.getHasLeader()) {
           answered = true;
           updateContact(true, address);
@@ -186,6 +185,17 @@
       loop.schedule(this::sendWatch, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
     }
 
+    /** Applies an update; an entry that cannot be applied must not end the watch. */
+    private void applySafely(SiteUpdate update) {
+      try {
+        daemons.apply(index, SiteCodec.decodeDaemons(update));
+        applyUpdate(update);
+      } catch (RuntimeException e) {
+        logger.atSevere().withCause(e).log(
+            "site: could not apply an update of control daemon %s", address);
+      }
+    }
+
     private String chooseAddress() {
       List<String> unwatched = new ArrayList<>();
       List<String> preferred = new ArrayList<>();
@@ -239,7 +249,7 @@
       UpstreamEntry entry = SiteCodec.decodeEntry(e);
       long before = registry.lastChangeNumber();
       if (registry.merge(entry, now)) {
-        registry.changesAfter(before).forEach(listener::upstreamChanged);
+        registry.changesAfter(before).forEach(this::publishSafely);
       }
     }
     registry.expire(now);
@@ -254,6 +264,15 @@
     }
   }
 
+  /** Passes on an entry; one that cannot be applied must not keep the others back. */
+  private void publishSafely(UpstreamEntry entry) {
+    try {
+      listener.upstreamChanged(entry);
+    } catch (RuntimeException e) {
+      logger.atSevere().withCause(e).log("site: could not apply the entry %s", entry);
+    }
+  }
+
   private void applyConfiguration(SiteUpdate update) {
     byte[] document = Compression.decompress(update.getConfiguration().toByteArray());
     try {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -10,6 +10,7 @@
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
 import org.goldcrestfall.core.gateway.RouteKind;
+import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamState;
 
 /** Runs a router between raw sockets; guards against wrong, duplicate, mixed and lost responses. */
@@ -399,6 +400,16 @@
         .containsIgnoringCase("retry-after: ");
   }
 
+  /** Guards against a closed connection in place of a response. */
+  @Example
+  void upstreamWhoseAddressCannotBeConnectedToIsIgnored() throws Exception {
+    for (String address : List.of("127.0.0.1:99999", "no-port", "")) {
+      var odd = new UpstreamEntry("odd", "s", address, "z", UpstreamState.READY, 4, 1, 1, 0);
+      fixture.runOnLoop(() -> fixture.gateway.upstreamChanged(odd));
+      assertThat(fixture.call("POST", "/unsafe/a", "", "")).as(address).startsWith("HTTP/1.1 503 ");
+    }
+  }
+
   @Example
   void drainingRouterRespondsWithConnectionClose() throws Exception {
     fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -44,6 +44,9 @@
  */
 public final class SiteFixture implements AutoCloseable {
 
+  /** Prefix of the ids of upstreams whose entries make the routers fail with an exception. */
+  static final String UNUSABLE_PREFIX = "unusable-";
+
   private static final int TIMEOUT_SECONDS = 20;
 
   /** A running control daemon. */
@@ -177,6 +180,9 @@
 
           @Override
           public void upstreamChanged(UpstreamEntry entry) {
+            if (entry.id().startsWith(UNUSABLE_PREFIX)) {
+              throw new IllegalArgumentException("entry " + entry.id() + " cannot be used");
+            }
             upstreams.put(entry.id(), entry);
           }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
@@ -87,6 +87,28 @@
     assertThat(router.versions()).containsExactly(30L);
   }
 
+  /**
+   * Guards against routers that stop following the control daemons after an odd entry. A router has
+   * two watches, and each entry could end the one that received it first.
+   */
+  @Example
+  void routerFollowsTheUpstreamsAfterEntriesThatItCannotUse() throws Exception {
+    open(1);
+    site.put("c0", "1 w 1000");
+    final Router router = site.startRouter(site::addresses);
+    for (long i = 1; i <= 4; i++) {
+      String id = SiteFixture.UNUSABLE_PREFIX + i;
+      var entry =
+          new UpstreamEntry(id, "s", "127.0.0.1:" + i, "z", UpstreamState.READY, 4, 1, 1, 0);
+      site.call(() -> site.controls.get("c0").site().announce(entry));
+      long version = 1 + i;
+      site.put("c0", version + " w 1000");
+      SiteFixture.await(() -> router.versions().contains(version));
+    }
+    site.call(() -> site.controls.get("c0").site().announce(upstream(UpstreamState.READY, 1)));
+    SiteFixture.await(() -> router.upstreams().containsKey("u"));
+  }
+
   @Example
   void departureIsAcknowledgedOnlyIfAnotherControlDaemonHasIt() throws Exception {
     open(3);
