Resume streams only with responses like the first

Other operators' clients found an error's text in the middle of a stream that the next upstream should have resumed, or the stream ended as complete. Here, an upstream asked to resume was believed on any 2xx status with a signature: a page of another content type was forwarded as events.

A response resumes a stream only if it has the status and the media type of the first; any other counts as a failure, after which the stream is resumed elsewhere or cut off.

Test: GatewayTest.streamIsCutOffIfTheNextUpstreamDoesNotResumeIt.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufAllocator;
 import io.netty.buffer.CompositeByteBuf;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -152,7 +153,14 @@
     if (success && !response.headers().contains(headerNames.signature())) {
       rejectResponse("the response has no signature");
     } else if (success && streaming) {
-      callerResponse.startStream(response, resumable);
+      if (!callerResponse.startStream(response, resumable)) {
+        rejectResponse(
+            "status "
+                + status
+                + " and type "
+                + response.headers().get(HttpHeaderNames.CONTENT_TYPE)
+                + " in response to a resumed stream");
+      }
     } else if (callerResponse.isCommitted()) {
       rejectResponse("status " + status + " in response to a resumed stream");
     } else {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerResponse.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerResponse.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.daemon.gateway;
 
+import com.google.common.base.Ascii;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
@@ -9,6 +10,7 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
 import java.util.Set;
@@ -26,6 +28,8 @@
   private final CallerRequest request;
   private HttpResponse pendingHead;
   private EventScanner scanner;
+  private HttpResponseStatus status;
+  private String mediaType = "";
   private boolean committed;
   private long firstByteAtMillis = -1;
   private long lastPartAtMillis;
@@ -77,14 +81,19 @@
     lastPartAtMillis = now;
   }
 
-  /** Starts or resumes a stream; a resumed one keeps the head that was already written. */
-  void startStream(HttpResponse head, boolean resumable) {
+  /**
+   * Starts or resumes a stream; a resumed one keeps the head that was already written. Returns
+   * false if the response is no stream like the one that it should resume.
+   */
+  boolean startStream(HttpResponse head, boolean resumable) {
+    if (committed) {
+      return head.status().equals(status) && mediaType(head).equals(mediaType);
+    }
     if (scanner == null) {
       scanner = new EventScanner();
     }
-    if (committed) {
-      return;
-    }
+    status = head.status();
+    mediaType = mediaType(head);
     pendingHead = copyHead(head);
     // The length is reliable only if no other upstream can resume the stream.
     if (HttpUtil.isContentLengthSet(head) && !resumable) {
@@ -94,6 +103,12 @@
     } else {
       HttpUtil.setTransferEncodingChunked(pendingHead, true);
     }
+    return true;
+  }
+
+  private static String mediaType(HttpResponse head) {
+    CharSequence type = HttpUtil.getMimeType(head);
+    return type == null ? "" : Ascii.toLowerCase(type.toString());
   }
 
   /**
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.goldcrestfall.daemon.gateway.GatewayFixture.route;
 
+import com.google.common.base.Splitter;
 import java.io.IOException;
 import java.net.Socket;
 import java.util.List;
@@ -321,6 +322,60 @@
         .endsWith("0\r\n\r\n");
   }
 
+  /**
+   * Guards against the text of an error in the middle of a stream, and against a stream that ends
+   * as if it were complete, when the upstream that is to resume it answers with an error.
+   */
+  @Example
+  void streamIsCutOffIfTheNextUpstreamDoesNotResumeIt() throws Exception {
+    List<String> answers =
+        List.of(
+            "500 X|X-Signature: sig\r\nContent-Type: text/plain\r\n|the error\n\n",
+            "404 X|X-Signature: sig\r\n|id: 9\ndata: the error\n\n",
+            "503 X|X-Not-Run: 1\r\n|the error\n\n",
+            "200 X||the error\n\n",
+            "200 X|X-Signature: sig\r\nContent-Type: text/html\r\n|the error\n\n",
+            "202 X|X-Signature: sig\r\n|the error\n\n",
+            "204 X|X-Signature: sig\r\n|");
+    for (String answer : answers) {
+      List<String> parts = Splitter.on('|').splitToList(answer);
+      ScriptedUpstream.Script script =
+          c -> {
+            if (c.header("Last-Event-Id").isEmpty()) {
+              stream(c, "id: 1\ndata: a\n\n");
+              Thread.sleep(100);
+              c.reset();
+              return;
+            }
+            String length =
+                parts.get(2).isEmpty() ? "" : "Content-Length: " + parts.get(2).length();
+            c.write(
+                "HTTP/1.1 "
+                    + parts.get(0)
+                    + "\r\nX-Id: "
+                    + c.header("X-Id")
+                    + "\r\n"
+                    + parts.get(1)
+                    + length
+                    + (length.isEmpty() ? "" : "\r\n")
+                    + "\r\n"
+                    + parts.get(2));
+          };
+      fixture.addUpstream("u1", script);
+      fixture.addUpstream("u2", script);
+      String response = fixture.call("POST", "/resume/a", "", "");
+      assertThat(response).as(answer).startsWith("HTTP/1.1 200 ").contains("id: 1\ndata: a\n\n");
+      assertThat(response).as(answer).doesNotContain("the error").doesNotEndWith("0\r\n\r\n");
+      assertThat(response.indexOf("HTTP/1.1"))
+          .as(answer)
+          .isEqualTo(response.lastIndexOf("HTTP/1.1"));
+      for (String id : List.of("u1", "u2")) {
+        fixture.runOnLoop(
+            () -> fixture.gateway.upstreamChanged(fixture.entry(id, UpstreamState.GONE)));
+      }
+    }
+  }
+
   @Example
   void streamThatBreaksBeforeItsFirstCompleteEventIsReportedAsUpstreamFailure() throws Exception {
     fixture.addUpstream(
