Write out responses to slow callers and leave idle connections alone

Causes: the pause of reading for a slow caller could reach the upstream connection after it had been given back, where nothing resumed it; and an exchange ended when its response was handed to the channel, after which closeIfIdle closed the channel and the drain did not wait.

Change: UpstreamConnection.setReading has no effect without a request in flight. A client connection with an unfinished write is not idle, is closed after the write, and the drain waits for such writes (hasOpenResponses).

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -5,6 +5,7 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -42,6 +43,7 @@
   private CompositeByteBuf body;
   private int reservedBufferBytes;
   private Exchange exchange;
+  private ChannelFuture lastWrite;
   private boolean refused;
   private boolean closing;
   private long lastActivityAtMillis;
@@ -193,9 +195,13 @@
       closing = true;
       r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
-    var writeFuture = channel.writeAndFlush(message);
+    lastWrite = channel.writeAndFlush(message);
     if (closing) {
-      writeFuture.addListener(ChannelFutureListener.CLOSE);
+      lastWrite.addListener(ChannelFutureListener.CLOSE);
+    }
+    if (!lastWrite.isDone()) {
+      gateway.responseWriteStarted();
+      lastWrite.addListener(f -> gateway.responseWriteEnded());
     }
   }
 
@@ -237,14 +243,27 @@
     readStartedAtMillis = -1;
   }
 
-  /** Closes the connection if no request is open, queued or being read. */
+  /**
+   * Closes the connection if no request is open, queued or being read, once the last response has
+   * been written.
+   */
   void closeIfIdle() {
-    if (exchange == null && readStartedAtMillis < 0 && pendingMessages.isEmpty() && !closing) {
-      closing = true;
+    if (exchange != null || readStartedAtMillis >= 0 || !pendingMessages.isEmpty() || closing) {
+      return;
+    }
+    closing = true;
+    if (isWriting()) {
+      lastWrite.addListener(ChannelFutureListener.CLOSE);
+    } else {
       channel.close();
     }
   }
 
+  /** Returns whether the caller has not taken all bytes of the last response yet. */
+  private boolean isWriting() {
+    return lastWrite != null && !lastWrite.isDone();
+  }
+
   /** Ends the open request, if any, and closes the connection without reading another one. */
   void stop() {
     if (exchange != null) {
@@ -259,7 +278,7 @@
 
   /** Closes an idle connection, and refuses a request whose next bytes do not arrive in time. */
   void checkTimeouts(long now) {
-    if (exchange != null || closing) {
+    if (exchange != null || closing || isWriting()) {
       return;
     }
     if (readStartedAtMillis >= 0
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -46,6 +46,7 @@
   private GatewayConfiguration configuration;
   private long bufferedBytes;
   private int openExchanges;
+  private int unwrittenResponses;
   private DrainSchedule drainSchedule;
   private boolean closingIdle;
   private boolean stopped;
@@ -149,6 +150,19 @@
     return openExchanges;
   }
 
+  /** Returns whether a response is not complete yet, or not yet written to its caller. */
+  public boolean hasOpenResponses() {
+    return openExchanges > 0 || unwrittenResponses > 0;
+  }
+
+  void responseWriteStarted() {
+    unwrittenResponses++;
+  }
+
+  void responseWriteEnded() {
+    unwrittenResponses--;
+  }
+
   boolean isDraining() {
     return drainSchedule != null;
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -111,9 +111,14 @@
     requestWritten = channel.writeAndFlush(request);
   }
 
-  /** Pauses or resumes reading, to match the speed at which the caller reads its response. */
+  /**
+   * Pauses or resumes reading, to match the speed at which the caller reads its response. Has no
+   * effect after the end of the response, when the connection may already serve another caller.
+   */
   void setReading(boolean reading) {
-    channel.config().setAutoRead(reading);
+    if (receiver != null) {
+      channel.config().setAutoRead(reading);
+    }
   }
 
   /** Cancels the request: the upstream drops it when the connection closes. */
