Do not believe refusals without an id on kept connections

Other operators' workers wrote an earlier refusal once more on a kept connection, and clients were told "not run" for requests that ran. Here, a response with another id was skipped, but a refusal without an id was taken for the request in flight: it was answered 503, or sent to a second upstream, while the first one ran it.

On a connection that was used before, a response without a request id counts as a failure of the upstream now; the request may have run. On a new connection there is no earlier refusal, and it is believed as before.

Test: GatewayTest.refusalWithoutIdOnKeptConnectionIsNotTakenFor..., which got 503 before.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -78,6 +78,7 @@
   private boolean headReceived;
   private boolean responseComplete;
   private boolean reusable;
+  private boolean reused;
   private boolean channelFailed;
   private boolean bytesReceived;
   private long idleSinceMillis;
@@ -171,7 +172,9 @@
           upstream.entry().id(), id, requestId);
       return;
     }
-    if (id == null && head.status().code() < 300) {
+    if (id == null && (head.status().code() < 300 || reused && !requestId.isEmpty())) {
+      // On a connection that was used before, it may be a copy of the response to an earlier
+      // request.
       fail("the response has no request id");
       return;
     }
@@ -238,6 +241,7 @@
     // An upstream may respond before it has read the whole request, and read the rest later.
     if (reusable && !decoder.hasUnreadBytes() && requestWritten.isSuccess() && upstream.isReady()) {
       idleSinceMillis = connections.now();
+      reused = true;
       channel.config().setAutoRead(true);
       connections.release(this);
     } else {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -27,6 +27,7 @@
     fixture.configure(
         route("/safe/", RouteKind.SAFE, 3_000, 2, false),
         route("/unsafe/", RouteKind.UNSAFE, 3_000, 1, false),
+        route("/booking/", RouteKind.UNSAFE, 3_000, 2, false),
         route("/quick/", RouteKind.UNSAFE, 200, 1, false),
         route("/stream/", RouteKind.STREAMING, 3_000, 1, false),
         route("/resume/", RouteKind.STREAMING, 3_000, 2, true));
@@ -131,6 +132,29 @@
     assertThat(fixture.call("POST", "/unsafe/a", "", "")).endsWith("mine");
   }
 
+  /**
+   * Guards against "not run" for a request that an upstream runs, and against a second run, when
+   * the upstream writes an earlier refusal once more on a kept connection.
+   */
+  @Example
+  void refusalWithoutIdOnKeptConnectionIsNotTakenForTheRequestInFlight() throws Exception {
+    ScriptedUpstream.Script script =
+        c -> {
+          if (c.head().contains("/second")) {
+            c.write("HTTP/1.1 503 X\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+          }
+          c.reply(200, SIGNED, "ran");
+        };
+    ScriptedUpstream one = fixture.addUpstream("u1", script);
+    ScriptedUpstream two = fixture.addUpstream("u2", script);
+    for (int i = 0; i < 4; i++) {
+      assertThat(fixture.call("POST", "/booking/first", "", "")).startsWith("HTTP/1.1 200 ");
+    }
+    int before = one.calls.size() + two.calls.size();
+    assertThat(fixture.call("POST", "/booking/second", "", "")).startsWith("HTTP/1.1 502 ");
+    assertThat(one.calls.size() + two.calls.size()).isEqualTo(before + 1);
+  }
+
   @Example
   void bytesAfterTheEndOfResponseNeverReachAnotherRequest() throws Exception {
     fixture.addUpstream(
