Forward no long response whose status promises "not run"

A 503, 429 or 408 of an upstream that does not state that the request has not run is replaced by 502, but not if its body was over 256 KiB: such a response was forwarded as it came, and callers take it as "not run" (seen by hand in the review; the same cause on a path beside repeated refusals). It counts as a failure of the upstream now.

Test: GatewayTest.longResponseWithStatusThatPromisesNotRunIsNotForwarded, which got 503 before.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -243,6 +243,10 @@
       return;
     }
     if (bufferedBody.readableBytes() + bytes.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
+      if (Exchange.isTakenForNotRun(head.status().code())) {
+        rejectResponse("status " + head.status().code() + " with a long body");
+        return;
+      }
       callerResponse.forwardPart(head, bufferedBody);
       callerResponse.forwardPart(head, bytes.retain());
       bufferedBody = ByteBufAllocator.DEFAULT.compositeBuffer();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -391,8 +391,7 @@
       dispatch("status_" + status);
       return;
     }
-    if (status == 408 || status == 429 || status == 503) {
-      // Callers take these statuses to mean "not run", which the upstream has not stated.
+    if (isTakenForNotRun(status)) {
       body.release();
       fail(ErrorKind.UPSTREAM_FAILED, "The upstream failed with status " + status + ".");
       return;
@@ -401,6 +400,11 @@
     finish(status / 100 == 2 ? "ok" : "upstream_" + status);
   }
 
+  /** Returns whether callers take a status to mean "not run" although no upstream stated it. */
+  static boolean isTakenForNotRun(int status) {
+    return status == 408 || status == 429 || status == 503;
+  }
+
   @Override
   public void onFailure(Attempt attempt, String reason) {
     currentAttempt = null;
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -121,6 +121,13 @@
     assertThat(fixture.call("POST", "/unsafe/a", "", "")).startsWith("HTTP/1.1 502 ");
   }
 
+  /** Guards against "not run" for a request that ran, if the body is too long to be buffered. */
+  @Example
+  void longResponseWithStatusThatPromisesNotRunIsNotForwarded() throws Exception {
+    fixture.addUpstream("u1", c -> c.reply(503, SIGNED, "b".repeat(300_000)));
+    assertThat(fixture.call("POST", "/unsafe/a", "", "")).startsWith("HTTP/1.1 502 ");
+  }
+
   @Example
   void responseToAnotherRequestIsSkipped() throws Exception {
     fixture.addUpstream(
