--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/DrainingRouterTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/DrainingRouterTest.java
@@ -67,7 +67,7 @@
   @Example
   void requestThatIsOpenWhenTheRouterStopsGetsResponse() throws Exception {
     ScriptedUpstream silent = fixture.addUpstream("u1", c -> {});
-    CompletableFuture<String> sent = callLater("/long/a", "");
+    final CompletableFuture<String> sent = callLater("/long/a", "");
     GatewayFixture.await(() -> !silent.calls.isEmpty());
     fixture.startDraining(1_000, 5_000);
     fixture.runOnLoop(fixture.gateway::stop);
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/SlowReaderTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/SlowReaderTest.java
@@ -36,7 +36,7 @@
    */
   @Example
   void pauseForSlowCallerDoesNotReachAnIdleUpstreamConnection() throws Exception {
-    ScriptedUpstream u = fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    final ScriptedUpstream u = fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
     fixture.call("POST", "/unsafe/a", "", "");
     fixture.runOnLoop(
         () -> {
