--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -141,7 +141,6 @@
    */
   public void stop() {
     stopped = true;
-    logger.atInfo().log("drain: %s requests are open at the end", openExchanges);
     Set.copyOf(clients).forEach(ClientConnection::stop);
   }
 
