Close the scripted upstream's port before its close returns

The log shows "upstream u2 is reachable" 5 ms after u2 had closed its listening socket in the test: the socket stays open until the thread that is blocked in accept has left its system call, and the router's check of whether the upstream has crashed connected in that time.

ScriptedUpstream.close joins that thread, so that the port refuses when it returns. The test and its bounds are unchanged.

--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/ScriptedUpstream.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/ScriptedUpstream.java
@@ -2,6 +2,7 @@
 
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
+import com.google.common.util.concurrent.Uninterruptibles;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -56,6 +57,7 @@
   private final ServerSocket server;
   private final Script script;
   private final boolean respondsBeforeBody;
+  private final Thread acceptor = new Thread(this::acceptConnections, "scripted-upstream");
 
   /**
    * Starts the upstream.
@@ -66,9 +68,8 @@
     this.script = script;
     this.respondsBeforeBody = respondsBeforeBody;
     server = new ServerSocket(0, 50, InetAddress.getByName("127.0.0.1"));
-    Thread t = new Thread(this::acceptConnections, "scripted-upstream");
-    t.setDaemon(true);
-    t.start();
+    acceptor.setDaemon(true);
+    acceptor.start();
   }
 
   static String formatResponse(String id, int status, String headers, String content) {
@@ -140,8 +141,13 @@
     return "";
   }
 
+  /**
+   * Refuses connections from its return on: the listening socket stays open until the thread that
+   * accepts connections has left its system call.
+   */
   @Override
   public void close() throws IOException {
     server.close();
+    Uninterruptibles.joinUninterruptibly(acceptor);
   }
 }
