Read what has arrived before a stopping router closes connections

What callers saw: in a planned stop, requests that were sent 2 to 7.5 s after the SIGTERM, on new and on kept connections, got no answer; their connections were closed 0.2 to 1.9 s after their last byte.

Cause: closeIdleClients and stop ran as queued tasks of the event loop. A loop that has been busy, or whose process had no processor, runs its queued tasks before it reads its sockets again. It then took a connection with an unread request for idle and closed it, and the listener was closed with connections that it had not accepted. Class of fault: a decision about a connection from a state that is older than its bytes.

Evidence: three new examples of DrainingRouterTest let a request arrive while the loop is busy; all three failed before. The log of the routers has no line for any of the lost requests.

Why it works: the task that closes is scheduled, and the loop reads its sockets between scheduling a task and running it. A stopped router goes on reading and refuses as not run what has arrived, closes its listener after one pass, and its connections after another. A connection whose answer ends in a drain is closed after a pass, too, because its caller may send the next request at once.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -222,7 +222,8 @@
     lastActivityAtMillis = gateway.now();
     releaseBody();
     if (gateway.isClosingIdle()) {
-      closeIfIdle();
+      // The caller may send its next request at once.
+      gateway.afterReading(this::closeIfIdle);
     }
     while (exchange == null && !pendingMessages.isEmpty()) {
       handle(pendingMessages.poll());
@@ -264,11 +265,15 @@
     return lastWrite != null && !lastWrite.isDone();
   }
 
-  /** Ends the open request, if any, and closes the connection without reading another one. */
-  void stop() {
+  /** Ends the open request, if any, because the router stops. */
+  void endExchange() {
     if (exchange != null) {
       exchange.onRouterStop();
     }
+  }
+
+  /** Closes the connection without reading another request. */
+  void close() {
     channel.config().setAutoRead(false);
     if (!closing) {
       closing = true;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.dispatch.ExpectedWaitSelector;
@@ -29,6 +30,9 @@
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
   private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
 
+  /** Delay of a task that the event loop runs in its next pass, after it has read its sockets. */
+  private static final long READING_MILLIS = 10;
+
   private final GatewaySettings settings;
   private final GatewayHeaderNames headerNames;
   private final EventLoop loop;
@@ -129,19 +133,47 @@
         openExchanges, schedule.endMillis() - now());
   }
 
-  /** Closes connections without a request now, and the others when their request has ended. */
+  /** Closes connections without a request, and the others when their request has ended. */
   public void closeIdleClients() {
-    closingIdle = true;
-    Set.copyOf(clients).forEach(ClientConnection::closeIfIdle);
+    // The first pass accepts connections, the second one reads them.
+    afterReading(
+        () ->
+            afterReading(
+                () -> {
+                  closingIdle = true;
+                  Set.copyOf(clients).forEach(ClientConnection::closeIfIdle);
+                }));
   }
 
   /**
-   * Ends all requests that are open, each with a response if none has begun, and closes all
-   * connections without reading further requests.
+   * Ends all requests that are open, each with a response if none has begun, closes the listener
+   * and then all connections. Requests that have arrived by then are refused.
+   *
+   * @return a future that is completed once all connections are closed
    */
-  public void stop() {
+  public CompletableFuture<Void> stop(Runnable closeListener) {
     stopped = true;
-    Set.copyOf(clients).forEach(ClientConnection::stop);
+    Set.copyOf(clients).forEach(ClientConnection::endExchange);
+    CompletableFuture<Void> closed = new CompletableFuture<>();
+    afterReading(
+        () -> {
+          closeListener.run();
+          afterReading(
+              () -> {
+                Set.copyOf(clients).forEach(ClientConnection::close);
+                closed.complete(null);
+              });
+        });
+    return closed;
+  }
+
+  /**
+   * Runs a task after the event loop has accepted and read what has arrived from callers. Without
+   * this, a task that was queued while the loop was busy or had no processor would close
+   * connections with a request that has not been read.
+   */
+  void afterReading(Runnable task) {
+    loop.schedule(task, READING_MILLIS, TimeUnit.MILLISECONDS);
   }
 
   /** Returns the number of requests that have no complete response yet. */
@@ -185,9 +217,6 @@
 
   void clientConnected(ClientConnection client) {
     clients.add(client);
-    if (stopped) {
-      client.stop();
-    }
   }
 
   void clientDisconnected(ClientConnection client) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/DrainingRouterTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/DrainingRouterTest.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.daemon.gateway;
 
+import static java.nio.charset.StandardCharsets.ISO_8859_1;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.goldcrestfall.daemon.gateway.GatewayFixture.route;
 
@@ -16,6 +17,10 @@
 
   private static final String SIGNED = "X-Signature: sig\r\n";
 
+  private static final String REQUEST =
+      "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Id: i\r\nAuthorization: Token k\r\n"
+          + "Content-Length: 0\r\n\r\n";
+
   private GatewayFixture fixture;
 
   @BeforeTry
@@ -70,7 +75,7 @@
     final CompletableFuture<String> sent = callLater("/long/a", "");
     GatewayFixture.await(() -> !silent.calls.isEmpty());
     fixture.startDraining(1_000, 5_000);
-    fixture.runOnLoop(fixture.gateway::stop);
+    fixture.runOnLoop(fixture::stop);
     assertThat(sent.get()).startsWith("HTTP/1.1 504 ").endsWith("}}\n");
     assertThat(fixture.gateway.openExchanges()).isZero();
   }
@@ -80,9 +85,50 @@
     ScriptedUpstream u = fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
     try (Socket idle = fixture.connect()) {
       fixture.startDraining(1_000, 5_000);
-      fixture.runOnLoop(fixture.gateway::stop);
+      fixture.runOnLoop(fixture::stop);
       assertThat(idle.getInputStream().read()).isEqualTo(-1);
     }
     assertThat(u.calls).isEmpty();
   }
+
+  private static String readAll(Socket socket) throws IOException {
+    return new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
+  }
+
+  @Example
+  void requestThatHasArrivedWhenIdleConnectionsAreClosedGetsResponse() throws Exception {
+    fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    try (Socket caller = fixture.connect()) {
+      fixture.startDraining(1_000, 5_000);
+      fixture.runBeforeReading(
+          () -> GatewayFixture.send(caller, REQUEST), fixture.gateway::closeIdleClients);
+      assertThat(readAll(caller)).startsWith("HTTP/1.1 200 ").endsWith("ok");
+    }
+  }
+
+  @Example
+  void requestThatHasArrivedWhenTheRouterStopsIsRefusedAsNotRun() throws Exception {
+    ScriptedUpstream u = fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    try (Socket caller = fixture.connect()) {
+      fixture.startDraining(1_000, 5_000);
+      fixture.runBeforeReading(() -> GatewayFixture.send(caller, REQUEST), fixture::stop);
+      assertThat(readAll(caller)).startsWith("HTTP/1.1 503 ").contains("\"run\":\"not_run\"");
+    }
+    assertThat(u.calls).isEmpty();
+  }
+
+  @Example
+  void requestOnNewConnectionWhenTheRouterStopsIsRefusedAsNotRun() throws Exception {
+    fixture.startDraining(1_000, 5_000);
+    CompletableFuture<Socket> caller = new CompletableFuture<>();
+    fixture.runBeforeReading(
+        () -> {
+          caller.complete(fixture.connect());
+          return GatewayFixture.send(caller.get(), REQUEST);
+        },
+        fixture::stop);
+    try (Socket socket = caller.get()) {
+      assertThat(readAll(socket)).startsWith("HTTP/1.1 503 ").contains("\"run\":\"not_run\"");
+    }
+  }
 }
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.util.concurrent.Uninterruptibles;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
 import io.netty.channel.EventLoopGroup;
@@ -18,6 +19,8 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
+import java.util.concurrent.Callable;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -167,6 +170,11 @@
         });
   }
 
+  /** Stops the request path and closes the listener, as at the end of a drain. */
+  void stop() {
+    gateway.stop(server::close);
+  }
+
   /** Starts to watch the control daemons, whose configuration is ignored. */
   void joinSite() {
     site.start();
@@ -176,6 +184,24 @@
     loop.submit(task).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
   }
 
+  /**
+   * Runs a task after bytes of callers have arrived, but before the router could read them, as
+   * happens on a machine whose processor is taken away for a while.
+   */
+  void runBeforeReading(Callable<?> callers, Runnable task) throws Exception {
+    CountDownLatch busy = new CountDownLatch(1);
+    CountDownLatch arrived = new CountDownLatch(1);
+    loop.execute(
+        () -> {
+          busy.countDown();
+          Uninterruptibles.awaitUninterruptibly(arrived, TIMEOUT_SECONDS, TimeUnit.SECONDS);
+        });
+    busy.await();
+    callers.call();
+    loop.execute(task);
+    arrived.countDown();
+  }
+
   Socket connect() throws IOException {
     InetSocketAddress a = (InetSocketAddress) server.localAddress();
     Socket socket = new Socket(a.getAddress(), a.getPort());
@@ -204,10 +230,16 @@
   }
 
   static String sendRaw(Socket socket, String text) throws IOException {
-    socket.getOutputStream().write(text.getBytes(ISO_8859_1));
+    send(socket, text);
     return new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
   }
 
+  /** Sends bytes without waiting for a response. */
+  static Void send(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(ISO_8859_1));
+    return null;
+  }
+
   static void await(BooleanSupplier condition) {
     Await.await(condition, TIMEOUT_SECONDS);
   }
