Fail a stream that its upstream ends before the first event

Callers got a 200 with an empty stream, framed as whole, when an upstream closed its connection right after the head of a response without a length, and a resumed stream ended as complete when the resuming upstream did so.

The router took the end of such a connection for the end of the response wherever it was not inside an event. A stream without an event states nothing that shows it to be whole, so it is now a failure of the upstream: resumed elsewhere, answered with 502, or cut off.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -267,11 +267,15 @@
     if (!open) {
       return;
     }
+    // An upstream that breaks off may close its connection in the same way as after the end.
     if (bufferedBody == null && callerResponse.hasIncompleteEvent()) {
-      // An upstream that breaks off may close its connection in the same way as after the end.
       onFailure("the stream ended inside an event", false);
       return;
     }
+    if (bufferedBody == null && events() == 0 && !ResponseHeads.hasDefinedLength(head)) {
+      onFailure("the stream ended before its first event", false);
+      return;
+    }
     long now = gateway.now();
     if (head.status().code() >= 500) {
       upstream.load().onFailure(now);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -179,19 +179,11 @@
       return;
     }
     headReceived = true;
-    reusable = HttpUtil.isKeepAlive(head) && hasDefinedLength(head);
+    reusable = HttpUtil.isKeepAlive(head) && ResponseHeads.hasDefinedLength(head);
     readKeepAliveTimeout(head);
     receiver.onHead(head);
   }
 
-  private static boolean hasDefinedLength(HttpResponse head) {
-    int status = head.status().code();
-    return HttpUtil.isTransferEncodingChunked(head)
-        || HttpUtil.isContentLengthSet(head)
-        || status == 204
-        || status == 304;
-  }
-
   private void readKeepAliveTimeout(HttpResponse head) {
     String value = head.headers().get(HttpHeaderNames.KEEP_ALIVE);
     Matcher m = value == null ? null : KEEP_ALIVE_TIMEOUT.matcher(value);
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -61,6 +61,7 @@
           ImmutableSet.of("x-expect", "x-workspace", "x-rank", "x-hold"));
 
   private static final int TIMEOUT_SECONDS = 10;
+  private static final double RETRY_SLACK = 100;
 
   final Gateway gateway;
   private final EventLoopGroup eventLoopGroup =
@@ -83,6 +84,10 @@
    * @param seeds supplies the peer addresses of control daemons
    */
   GatewayFixture(Supplier<List<String>> seeds) throws Exception {
+    this(seeds, RETRY_SLACK);
+  }
+
+  private GatewayFixture(Supplier<List<String>> seeds, double retrySlack) throws Exception {
     MillisClock clock = MillisClock.monotonic();
     transport =
         new NettyPeerTransport(
@@ -91,7 +96,7 @@
             eventLoopGroup);
     gateway =
         new Gateway(
-            new GatewaySettings("z", 0.2, 100, 10_000, 1 << 20),
+            new GatewaySettings("z", 0.2, retrySlack, 10_000, 1 << 20),
             HEADER_NAMES,
             loop,
             clock,
@@ -104,6 +109,11 @@
     server = GatewayServer.bind(gateway, loop, "127.0.0.1", 0);
   }
 
+  /** Starts a router that reaches no control daemon and may send requests again without limit. */
+  static GatewayFixture withUnlimitedRetries() throws Exception {
+    return new GatewayFixture(() -> List.of("127.0.0.1:1"), 1e9);
+  }
+
   static Route route(
       String prefix, RouteKind kind, int timeoutMillis, int maxAttempts, boolean resumable) {
     return new Route(
