Reject a response head that consists of parts of two responses

An upstream that stopped inside a head and went on with another response on the same connection was read as one response: of two request ids the first was believed, and a status line inside a header value or reason phrase was taken for text. Callers got the body of another request, or a 200 with the body of an error.

A head with two request ids or signatures, or with a status line inside the reason phrase or a value, is now a failure of the upstream. The decoder already rejects a status line on a line of its own. A head whose rest lacks a status line, and whose only id is right, cannot be told from a sound one.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -164,7 +165,12 @@
       fail("malformed or unexpected response head");
       return;
     }
-    String id = head.headers().get(connections.headerNames().requestId());
+    GatewayHeaderNames headerNames = connections.headerNames();
+    if (ResponseHeads.isJoined(head, List.of(headerNames.requestId(), headerNames.signature()))) {
+      fail("the head consists of parts of two responses");
+      return;
+    }
+    String id = head.headers().get(headerNames.requestId());
     skippingResponse = id != null && !id.equals(requestId);
     if (skippingResponse) {
       logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/CutResponseTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/CutResponseTest.java
@@ -44,6 +44,7 @@
   private Socket caller;
   private final List<ScriptedUpstream> upstreams = new ArrayList<>();
   private volatile Cut cut;
+  private volatile ScriptedUpstream.Script raw;
   private volatile int cutsLeft;
 
   @BeforeTry
@@ -93,6 +94,11 @@
   /** Cuts the response as set, as often as set, and completes it otherwise. */
   private void respond(ScriptedUpstream.Call c) throws Exception {
     Cut now = cut;
+    if (c.head().contains("/raw")) {
+      raw.respond(c);
+      c.socket().close();
+      return;
+    }
     if (c.head().contains("/sound") || cutsLeft <= 0) {
       c.write(response(Framing.LENGTH, c.header("X-Id"), c.header("Last-Event-Id")));
       return;
@@ -270,4 +276,41 @@
           }
         });
   }
+
+  /** Guards against two responses on one connection that are read as one. */
+  @Example
+  void headThatIsCompletedByAnotherResponseIsAnError() throws Exception {
+    nextId.set(1_000);
+    List<String> others =
+        List.of(
+            "HTTP/1.1 200 OK\r\nX-Id: 7\r\nX-Signature: t\r\nContent-Length: 5\r\n\r\nother",
+            "HTTP/1.1 500 X\r\nX-Id: %s\r\nX-Signature: t\r\nContent-Length: 5\r\n\r\nother",
+            "HTTP/1.1 200 OK\r\nX-Id: %s\r\nX-Signature: t\r\nContent-Length: 5\r\n\r\nother",
+            "X-Id: 7\r\nX-Signature: t\r\nContent-Length: 5\r\n\r\nother");
+    for (String path : List.of("/unsafe/", "/stream/")) {
+      for (String other : others) {
+        for (int bytes = 1;
+            bytes < response(Framing.UNTIL_CLOSE, id(), "").indexOf("\r\n\r\n");
+            bytes++) {
+          String start = response(Framing.UNTIL_CLOSE, id(), "").substring(0, bytes);
+          if (!other.startsWith("HTTP/") && !start.endsWith("\r\n")) {
+            // A header name that absorbs the next one cannot be told from a header of that name.
+            continue;
+          }
+          awaitSoundResponse(path);
+          int end = bytes;
+          raw =
+              c -> {
+                String id = c.header("X-Id");
+                c.write(
+                    response(Framing.UNTIL_CLOSE, id, "").substring(0, end) + other.formatted(id));
+              };
+          HttpReply r = call("POST", path + "raw");
+          if (r.complete()) {
+            assertThat(r.status()).as("%s bytes, then %s: %s", bytes, other, r).isEqualTo(502);
+          }
+        }
+      }
+    }
+  }
 }
