Answer HEAD without body bytes, and keep the stated length

A HEAD request that the router answered itself got the JSON text of the error, and one on a streaming route the end of a chunked body; on a kept connection callers read these bytes as the start of the next response. A response to HEAD and a 304 also lost the length that the upstream stated and looked like an empty resource.

The router now leaves out the text of an error for HEAD, treats HEAD on a streaming route as a plain request, and passes on the stated length.

CutResponseTest.responseWithoutBodyIsWholeOrAnError failed before at its first cut: the next response on the caller's connection began with JSON.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerResponse.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerResponse.java
@@ -9,6 +9,7 @@
 import io.netty.handler.codec.http.DefaultLastHttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -46,6 +47,10 @@
     return committed;
   }
 
+  private boolean isHead() {
+    return request.head().method().equals(HttpMethod.HEAD);
+  }
+
   /** Returns whether the response is a stream of events. */
   boolean isStream() {
     return scanner != null;
@@ -167,7 +172,13 @@
     recordPart();
     var out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), bytes);
     HopByHopHeaders.copy(head.headers(), out.headers(), Set.of());
-    out.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
+    String statedLength = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
+    if (!isHead() && head.status().code() != 304) {
+      out.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
+    } else if (statedLength != null) {
+      // It states the length of the body that a GET would be answered with.
+      out.headers().set(HttpHeaderNames.CONTENT_LENGTH, statedLength);
+    }
     prepareHead(out);
     client.writeLast(out);
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -40,6 +41,7 @@
   private final Deque<Object> pendingMessages = new ArrayDeque<>();
   private Channel channel;
   private HttpRequest head;
+  private boolean headRequest;
   private CompositeByteBuf body;
   private int reservedBufferBytes;
   private Exchange exchange;
@@ -93,6 +95,7 @@
 
   private void onHead(HttpRequest request) {
     readStartedAtMillis = gateway.now();
+    headRequest = request.method().equals(HttpMethod.HEAD);
     if (request.decoderResult().isFailure()) {
       Throwable cause = request.decoderResult().cause();
       boolean tooLong =
@@ -166,9 +169,12 @@
             + kind.retryable()
             + "}}\n";
     ByteBuf bytes = Unpooled.copiedBuffer(json, StandardCharsets.UTF_8);
+    // The caller would take the body of a response to HEAD for the start of the next response.
     var response =
         new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(kind.status()), bytes);
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(kind.status()),
+            headRequest ? Unpooled.EMPTY_BUFFER : bytes);
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
     if (requestId != null) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -6,6 +6,7 @@
 import io.netty.buffer.CompositeByteBuf;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
@@ -304,7 +305,8 @@
     attempts++;
     attemptsThatMayHaveRun++;
     triedUpstreams.add(upstream.entry().id());
-    boolean streaming = route.kind() == RouteKind.STREAMING;
+    boolean streaming =
+        route.kind() == RouteKind.STREAMING && !request.head().method().equals(HttpMethod.HEAD);
     currentAttempt =
         new Attempt(
             gateway, connection, requestSize, callerResponse, streaming, route.resumable(), this);
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/CutResponseTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/CutResponseTest.java
@@ -277,6 +277,45 @@
         });
   }
 
+  /** Reads each response from a kept connection, on which any further byte would show up next. */
+  @Example
+  void responseWithoutBodyIsWholeOrAnError() throws Exception {
+    for (String line : List.of("HEAD 200", "HEAD 404", "GET 204", "GET 304")) {
+      for (String path : List.of("/safe/", "/stream/")) {
+        for (String framing :
+            List.of("Content-Length: 45\r\n", "Transfer-Encoding: chunked\r\n", "")) {
+          String method = line.substring(0, line.indexOf(' '));
+          int status = Integer.parseInt(line.substring(line.indexOf(' ') + 1));
+          assertHeadIsWholeOrAnError(method, path, status, framing);
+        }
+      }
+    }
+  }
+
+  private void assertHeadIsWholeOrAnError(String method, String path, int status, String framing)
+      throws Exception {
+    nextId.set(1_000);
+    String head = "HTTP/1.1 " + status + " X\r\nX-Id: %s\r\n" + SIGNED + framing + "\r\n";
+    int length = head.formatted(id()).length();
+    // The framing makes no difference where the head is cut.
+    int first = framing.startsWith("Content-Length") ? 0 : length;
+    for (int bytes = first; bytes <= length; bytes++) {
+      awaitSoundResponse(path);
+      String text = head;
+      int end = bytes;
+      raw = c -> c.write(text.formatted(c.header("X-Id")).substring(0, end));
+      HttpReply r = call(method, path + "raw");
+      boolean whole = bytes == length;
+      assertThat(r.complete()).as("%s %s%s: %s", method, path, status, r).isTrue();
+      assertThat(r.status())
+          .as("%s %s%s: %s", method, path, bytes, r)
+          .isEqualTo(whole ? status : 502);
+      if (whole && status != 204 && framing.startsWith("Content-Length")) {
+        assertThat(r.header("Content-Length")).as("%s %s", method, path).isEqualTo("45");
+      }
+    }
+  }
+
   /** Guards against two responses on one connection that are read as one. */
   @Example
   void headThatIsCompletedByAnotherResponseIsAnError() throws Exception {
