Keep request id and signature of a response whatever Connection names

A response whose Connection header named its request id or signature reached the caller as a success without them, because headers named there are taken to concern one connection only. Both identify the response end to end, so they are now always passed on.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerResponse.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerResponse.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
 import java.util.Set;
 import org.goldcrestfall.core.common.ErrorKind;
 
@@ -171,7 +172,7 @@
   void writeFullResponse(HttpResponse head, CompositeByteBuf bytes) {
     recordPart();
     var out = new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, head.status(), bytes);
-    HopByHopHeaders.copy(head.headers(), out.headers(), Set.of());
+    copyHeaders(head, out);
     String statedLength = head.headers().get(HttpHeaderNames.CONTENT_LENGTH);
     if (!isHead() && head.status().code() != 304) {
       out.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
@@ -197,9 +198,21 @@
     client.abort();
   }
 
+  /** Keeps the headers that identify the response, also if Connection names them. */
+  private void copyHeaders(HttpResponse head, HttpResponse out) {
+    HopByHopHeaders.copy(head.headers(), out.headers(), Set.of());
+    GatewayHeaderNames names = gateway.headerNames();
+    for (String name : List.of(names.requestId(), names.signature())) {
+      String value = head.headers().get(name);
+      if (value != null) {
+        out.headers().set(name, value);
+      }
+    }
+  }
+
   private HttpResponse copyHead(HttpResponse head) {
     HttpResponse out = new DefaultHttpResponse(HttpVersion.HTTP_1_1, head.status());
-    HopByHopHeaders.copy(head.headers(), out.headers(), Set.of());
+    copyHeaders(head, out);
     return out;
   }
 
