Reject responses whose status is not that of a final response

An interim response (1xx) that carried the request id, and statuses such as 0, 99 and 700, reached callers as the response; after a 1xx callers wait for the final response, which never came. Any status outside 200 to 599 is now a failure of the upstream.

CutResponseTest.oddHeadIsPassedOnWholeOrIsAnError, 26 odd heads on two routes, failed before at status 99 and passes now.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -165,6 +165,11 @@
       fail("malformed or unexpected response head");
       return;
     }
+    int status = head.status().code();
+    if (status < 200 || status > 599) {
+      fail("status " + status + " is not that of a final response");
+      return;
+    }
     GatewayHeaderNames headerNames = connections.headerNames();
     if (ResponseHeads.isJoined(head, List.of(headerNames.requestId(), headerNames.signature()))) {
       fail("the head consists of parts of two responses");
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/CutResponseTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/CutResponseTest.java
@@ -352,4 +352,62 @@
       }
     }
   }
+
+  /** Guards against half a head, or no response at all, where a head cannot be passed on. */
+  @Example
+  void oddHeadIsPassedOnWholeOrIsAnError() throws Exception {
+    List<String> odd =
+        List.of(
+            "HTTP/1.1 200 \u00e9\u0001\u007f\r\n",
+            "HTTP/1.1 200\r\n",
+            "HTTP/1.1 200 \t\r\n",
+            "HTTP/1.1 99 X\r\n",
+            "HTTP/1.1 0 X\r\n",
+            "HTTP/1.1 100 X\r\n",
+            "HTTP/1.1 103 X\r\n",
+            "HTTP/1.1 101 X\r\n",
+            "HTTP/1.1 700 X\r\n",
+            "HTTP/1.1 -1 X\r\n",
+            "HTTP/1.1 99999999999 X\r\n",
+            "HTTP/1.0 200 X\r\n",
+            "HTTP/1.1 200 X\r\nX-A: \u00e9\u0080\u00ff\r\n",
+            "HTTP/1.1 200 X\r\nX-A: a\u0000b\r\n",
+            "HTTP/1.1 200 X\r\nX-A: a\rb\r\n",
+            "HTTP/1.1 200 X\r\nX\u00e9: a\r\n",
+            "HTTP/1.1 200 X\r\nX-A: a\r\n folded\r\n",
+            "HTTP/1.1 200 X\r\n: a\r\n",
+            "HTTP/1.1 200 X\r\nX-A : a\r\n",
+            "HTTP/1.1 200 X\r\nConnection: X-Id, X-Signature, Content-Length\r\n",
+            "HTTP/1.1 200 X\r\nTransfer-Encoding: gzip\r\n",
+            "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n",
+            "HTTP/1.1 200 X\r\nContent-Length: 0\r\n",
+            "HTTP/1.1 200 X\r\nKeep-Alive: timeout=99999999999999\r\nX-Load: ,,\r\n",
+            "HTTP/1.1 200 X\r\nX-A: " + "a".repeat(60_000) + "\r\n",
+            "HTTP/1.1 200 X\r\nX-A: " + "a".repeat(70_000) + "\r\n");
+    for (String path : List.of("/unsafe/", "/stream/")) {
+      for (String start : odd) {
+        awaitSoundResponse(path);
+        raw =
+            c ->
+                c.write(
+                    start
+                        + "X-Id: "
+                        + c.header("X-Id")
+                        + "\r\n"
+                        + SIGNED
+                        + "Content-Length: "
+                        + BODY.length()
+                        + "\r\n\r\n"
+                        + BODY);
+        HttpReply r = call("POST", path + "raw");
+        assertThat(r.complete()).as("%s", start).isTrue();
+        if (r.status() == 200) {
+          assertThat(r.body()).as("%s", start).isEqualTo(BODY);
+          assertThat(r.header("X-Signature")).as("%s", start).isEqualTo("s");
+        } else {
+          assertThat(r.status()).as("%s", start).isEqualTo(502);
+        }
+      }
+    }
+  }
 }
