Continue periodic tasks after a run that fails

Executors cancel a periodic task that throws, without a log line. Only the timers of the product's router role were protected.

PeriodicTasks catches and logs the exceptions of all of them now. FailingHandlerTest.periodicTasksContinueAfterRunsThatFailed lets the clock throw for 1.5 s; with the protection taken out nothing is logged and the test fails.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/ControlRole.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/ControlRole.java
@@ -104,7 +104,7 @@
             controlService,
             new OrderService.Clocks(clock, utcClock),
             settings.orders().timeoutMillis());
-    RouterRole.schedulePeriodically(timer, ORDER_TICK_INTERVAL_MILLIS, service::tick);
+    PeriodicTasks.schedule(timer, ORDER_TICK_INTERVAL_MILLIS, service::tick);
   }
 
   private static Optional<OrderService.Engine> findEngine(PeerService peers, String name) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/Daemon.java
@@ -251,7 +251,7 @@
           "daemon: cannot open the watermark store; running without watermarks on disk");
       return new BudgetService(new AllotmentLedger(self), controlService, this::tradeoff, clock);
     }
-    RouterRole.schedulePeriodically(
+    PeriodicTasks.schedule(
         timer,
         CLOSE_EARLIER_INTERVAL_MILLIS,
         () -> watermarkWriter.closeEarlierIncarnations(controlService, utcClock.nowMillis()));
--- a/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/RouterRole.java
@@ -7,7 +7,6 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.stream.Collectors;
 import org.apache.pekko.actor.typed.ActorSystem;
 import org.goldcrestfall.core.admission.AdmissionQueue;
@@ -206,34 +205,16 @@
   }
 
   private void schedulePeriodicTasks(ScheduledExecutorService timer) {
-    schedulePeriodically(timer, TICK_INTERVAL_MILLIS, admission::tick);
-    schedulePeriodically(timer, TICK_INTERVAL_MILLIS, budgets::tick);
-    schedulePeriodically(timer, TICK_INTERVAL_MILLIS, transfers::tick);
-    schedulePeriodically(timer, MAINTENANCE_INTERVAL_MILLIS, transfers::resendAndReport);
-    schedulePeriodically(timer, MAINTENANCE_INTERVAL_MILLIS, this::returnUnneededTokens);
-    schedulePeriodically(timer, MAINTENANCE_INTERVAL_MILLIS, this::updateLimits);
-    schedulePeriodically(
+    PeriodicTasks.schedule(timer, TICK_INTERVAL_MILLIS, admission::tick);
+    PeriodicTasks.schedule(timer, TICK_INTERVAL_MILLIS, budgets::tick);
+    PeriodicTasks.schedule(timer, TICK_INTERVAL_MILLIS, transfers::tick);
+    PeriodicTasks.schedule(timer, MAINTENANCE_INTERVAL_MILLIS, transfers::resendAndReport);
+    PeriodicTasks.schedule(timer, MAINTENANCE_INTERVAL_MILLIS, this::returnUnneededTokens);
+    PeriodicTasks.schedule(timer, MAINTENANCE_INTERVAL_MILLIS, this::updateLimits);
+    PeriodicTasks.schedule(
         timer, CLOSED_INCARNATION_CHECK_INTERVAL_MILLIS, transfers::checkClosedIncarnations);
   }
 
-  /**
-   * Runs a task repeatedly, with a fixed delay between runs. Exceptions are caught and logged,
-   * because the executor cancels a periodic task that throws.
-   */
-  static void schedulePeriodically(ScheduledExecutorService timer, long millis, Runnable task) {
-    timer.scheduleWithFixedDelay(
-        () -> {
-          try {
-            task.run();
-          } catch (RuntimeException e) {
-            logger.atSevere().withCause(e).log("daemon: a periodic task failed");
-          }
-        },
-        millis,
-        millis,
-        TimeUnit.MILLISECONDS);
-  }
-
   private void returnUnneededTokens() {
     control
         .query(new ControlQuery.Shortages())
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/GroupJoiner.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/GroupJoiner.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.consensus.Member;
+import org.goldcrestfall.daemon.PeriodicTasks;
 import org.goldcrestfall.wire.PeerTransport;
 import org.goldcrestfall.wire.generated.Body;
 import org.goldcrestfall.wire.generated.JoinReply;
@@ -54,7 +55,10 @@
 
   void start() {
     executor.scheduleWithFixedDelay(
-        this::joinIfNeeded, 0, ATTEMPT_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+        PeriodicTasks.loggingExceptions(this::joinIfNeeded),
+        0,
+        ATTEMPT_INTERVAL_MILLIS,
+        TimeUnit.MILLISECONDS);
   }
 
   private void joinIfNeeded() {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -6,7 +6,6 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.dispatch.ExpectedWaitSelector;
 import org.goldcrestfall.core.dispatch.UpstreamSelector;
@@ -16,6 +15,7 @@
 import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.retry.RetryAllowance;
+import org.goldcrestfall.daemon.PeriodicTasks;
 import org.goldcrestfall.daemon.site.CrashReporter;
 import org.goldcrestfall.daemon.site.PermitClient;
 import org.goldcrestfall.daemon.site.PrepaidTokens;
@@ -84,11 +84,7 @@
         "suspect_parts",
         "Prompt parts under which upstreams crashed",
         () -> quarantine.view().parts().size());
-    loop.scheduleWithFixedDelay(
-        this::checkTimeouts,
-        TIMEOUT_CHECK_INTERVAL_MILLIS,
-        TIMEOUT_CHECK_INTERVAL_MILLIS,
-        TimeUnit.MILLISECONDS);
+    PeriodicTasks.schedule(loop, TIMEOUT_CHECK_INTERVAL_MILLIS, this::checkTimeouts);
   }
 
   private void checkTimeouts() {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/LoadExchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/LoadExchange.java
@@ -12,6 +12,7 @@
 import org.goldcrestfall.core.dispatch.LoadCollector;
 import org.goldcrestfall.core.dispatch.LoadCollector.PartsUpdate;
 import org.goldcrestfall.core.dispatch.RequestLoad;
+import org.goldcrestfall.daemon.PeriodicTasks;
 import org.goldcrestfall.wire.PeerTransport;
 import org.goldcrestfall.wire.generated.Body;
 import org.goldcrestfall.wire.generated.Body.KindCase;
@@ -74,11 +75,7 @@
           loop.execute(() -> onNotice(body.getLoadNotice()));
           return CompletableFuture.completedFuture(null);
         });
-    loop.scheduleWithFixedDelay(
-        this::repeatNotice,
-        LoadCollector.REPORT_INTERVAL_MILLIS,
-        LoadCollector.REPORT_INTERVAL_MILLIS,
-        TimeUnit.MILLISECONDS);
+    PeriodicTasks.schedule(loop, LoadCollector.REPORT_INTERVAL_MILLIS, this::repeatNotice);
   }
 
   private Body onReport(LoadReport report) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -19,6 +19,7 @@
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteState;
+import org.goldcrestfall.daemon.PeriodicTasks;
 import org.goldcrestfall.daemon.control.ControlClient;
 import org.goldcrestfall.wire.PeerTransport;
 import org.goldcrestfall.wire.generated.Body;
@@ -143,8 +144,7 @@
         KindCase.TOKEN_LOAN_REQUEST,
         (sender, body) ->
             CompletableFuture.supplyAsync(() -> lend(sender, body.getTokenLoanRequest()), loop));
-    loop.scheduleWithFixedDelay(
-        this::renew, RENEW_INTERVAL_MILLIS, RENEW_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    PeriodicTasks.schedule(loop, RENEW_INTERVAL_MILLIS, this::renew);
   }
 
   /** Applies the prepaid totals of the workspaces in a configuration. */
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
@@ -26,6 +26,7 @@
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteDaemon;
 import org.goldcrestfall.core.site.SiteState;
+import org.goldcrestfall.daemon.PeriodicTasks;
 import org.goldcrestfall.daemon.control.ControlClient;
 import org.goldcrestfall.daemon.control.ControlReplica;
 import org.goldcrestfall.wire.PeerTransport;
@@ -114,7 +115,11 @@
         KindCase.UPSTREAM_NOTICE,
         (sender, body) -> runOnLoop(() -> handleNotice(body.getUpstreamNotice())));
     loop.execute(this::catchUp);
-    loop.scheduleWithFixedDelay(this::tick, 0, NOTICE_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    loop.scheduleWithFixedDelay(
+        PeriodicTasks.loggingExceptions(this::tick),
+        0,
+        NOTICE_INTERVAL_MILLIS,
+        TimeUnit.MILLISECONDS);
   }
 
   private CompletableFuture<Body> runOnLoop(
--- /dev/null
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/FailingHandlerTest.java
@@ -0,0 +1,86 @@
+package org.goldcrestfall.daemon.gateway;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.goldcrestfall.daemon.gateway.GatewayFixture.route;
+
+import java.net.Socket;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+import net.jqwik.api.Example;
+import net.jqwik.api.lifecycle.AfterTry;
+import net.jqwik.api.lifecycle.BeforeTry;
+import org.goldcrestfall.core.gateway.ClientLimits;
+import org.goldcrestfall.core.gateway.GatewayConfiguration;
+import org.goldcrestfall.core.gateway.RouteKind;
+import org.goldcrestfall.core.gateway.ServiceSettings;
+
+/**
+ * Guards against an unexpected exception that ends a periodic task of a router, or that leaves no
+ * trace in the log.
+ */
+class FailingHandlerTest {
+
+  /** Longer than the intervals of all periodic tasks of a router. */
+  private static final int FAILURE_MILLIS = 1_500;
+
+  private static final int IDLE_TIMEOUT_MILLIS = 300;
+
+  private final List<LogRecord> logged = new CopyOnWriteArrayList<>();
+  private final Logger root = Logger.getLogger("org.goldcrestfall");
+  private final Handler handler =
+      new Handler() {
+        @Override
+        public void publish(LogRecord r) {
+          logged.add(r);
+        }
+
+        @Override
+        public void flush() {}
+
+        @Override
+        public void close() {}
+      };
+  private GatewayFixture fixture;
+
+  @BeforeTry
+  void open() throws Exception {
+    root.addHandler(handler);
+    fixture = new GatewayFixture();
+    var limits = new ClientLimits(16_384, 4_194_304, 3_000, IDLE_TIMEOUT_MILLIS);
+    var configuration =
+        new GatewayConfiguration(
+            1,
+            List.of(route("/safe/", RouteKind.SAFE, 3_000, 1, false)),
+            Map.of("s", new ServiceSettings("s", 100, Optional.empty())),
+            limits,
+            List.of());
+    fixture.runOnLoop(() -> fixture.gateway.configurationChanged(configuration));
+    fixture.addUpstream("u1", c -> c.reply(200, "X-Signature: s\r\n", "ok"));
+  }
+
+  @AfterTry
+  void close() throws Exception {
+    root.removeHandler(handler);
+    fixture.close();
+  }
+
+  private boolean isLogged(String cause) {
+    return logged.stream().anyMatch(r -> String.valueOf(r.getThrown()).contains(cause));
+  }
+
+  @Example
+  void periodicTasksContinueAfterRunsThatFailed() throws Exception {
+    fixture.clockFails = true;
+    Thread.sleep(FAILURE_MILLIS);
+    fixture.clockFails = false;
+    assertThat(isLogged("the clock fails")).isTrue();
+    try (Socket idle = fixture.connect()) {
+      assertThat(idle.getInputStream().read()).isEqualTo(-1);
+    }
+  }
+}
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.daemon.gateway;
 
+import static com.google.common.base.Preconditions.checkState;
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
 import com.google.common.collect.ImmutableList;
@@ -64,6 +65,10 @@
   private static final double RETRY_SLACK = 100;
 
   final Gateway gateway;
+
+  /** Whether reading the clock throws, which makes handlers and periodic tasks throw. */
+  volatile boolean clockFails;
+
   private final EventLoopGroup eventLoopGroup =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) eventLoopGroup.next();
@@ -88,7 +93,12 @@
   }
 
   private GatewayFixture(Supplier<List<String>> seeds, double retrySlack) throws Exception {
-    MillisClock clock = MillisClock.monotonic();
+    MillisClock monotonic = MillisClock.monotonic();
+    MillisClock clock =
+        () -> {
+          checkState(!clockFails, "the clock fails");
+          return monotonic.nowMillis();
+        };
     transport =
         new NettyPeerTransport(
             new PeerSettings("r", "127.0.0.1", 0, "test", new byte[16]),
