Log unexpected exceptions of HTTP handlers, and end their connections

An exception while a router handled a caller's or an upstream's connection, or an operator's call, closed the connection without a log line. A response that could not be encoded left its caller waiting on an open connection until it gave up.

All but I/O errors are logged now, and a failed write closes the connection. FailingHandlerTest lets the clock throw while a request arrives: the connection ends, the log names the cause, and the next request is served.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -22,6 +22,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -202,6 +203,12 @@
       r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
     lastWrite = channel.writeAndFlush(message);
+    lastWrite.addListener(
+        f -> {
+          if (!f.isSuccess()) {
+            closeAfterFailure(f.cause());
+          }
+        });
     if (closing) {
       lastWrite.addListener(ChannelFutureListener.CLOSE);
     }
@@ -211,6 +218,15 @@
     }
   }
 
+  /** A response that cannot be written must not leave its caller waiting. */
+  private void closeAfterFailure(Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      logger.atSevere().withCause(cause).atMostEvery(1, TimeUnit.SECONDS).log(
+          "http: closing a caller's connection after an unexpected exception");
+    }
+    channel.close();
+  }
+
   /** Closes the connection after the current response. */
   void closeAfterResponse() {
     closing = true;
@@ -317,6 +333,6 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
-    channel.close();
+    closeAfterFailure(cause);
   }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/SimpleHttpServer.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/SimpleHttpServer.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.daemon.gateway;
 
+import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.ByteBufUtil;
 import io.netty.buffer.Unpooled;
@@ -21,10 +22,13 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import java.io.IOException;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /** An HTTP server for the endpoints of operators, upstreams, the load balancer and metrics. */
 public final class SimpleHttpServer {
 
+  private static final FluentLogger logger = FluentLogger.forEnclosingClass();
+
   private static final int MAX_HEADER_BYTES = 16_384;
   private static final int MAX_BODY_BYTES = 8 << 20;
   private static final int IDLE_TIMEOUT_SECONDS = 30;
@@ -100,7 +104,11 @@
               ByteBufUtil.getBytes(httpRequest.content()));
       handler
           .handle(request)
-          .exceptionally(e -> Response.json(500, new byte[0]))
+          .exceptionally(
+              e -> {
+                logFailure(e);
+                return Response.json(500, new byte[0]);
+              })
           .thenAcceptAsync(response -> write(c, keepAlive, response), c.executor());
     }
 
@@ -127,7 +135,15 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
+      if (!(cause instanceof IOException)) {
+        logFailure(cause);
+      }
       c.close();
     }
+
+    private static void logFailure(Throwable cause) {
+      logger.atSevere().withCause(cause).atMostEvery(1, TimeUnit.SECONDS).log(
+          "http: a handler failed with an unexpected exception");
+    }
   }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -14,6 +14,7 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
@@ -271,6 +272,11 @@
   public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
     // Netty reports the end of input after this; it must not complete a response without a length.
     channelFailed = true;
+    if (!(cause instanceof IOException)) {
+      logger.atSevere().withCause(cause).atMostEvery(1, TimeUnit.SECONDS).log(
+          "upstream: closing a connection to %s after an unexpected exception",
+          upstream.entry().id());
+    }
     fail(String.valueOf(cause.getMessage()));
   }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/FailingHandlerTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/FailingHandlerTest.java
@@ -3,7 +3,9 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.goldcrestfall.daemon.gateway.GatewayFixture.route;
 
+import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,10 +20,11 @@
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
 import org.goldcrestfall.core.gateway.RouteKind;
 import org.goldcrestfall.core.gateway.ServiceSettings;
+import org.goldcrestfall.daemon.PeriodicTasks;
 
 /**
- * Guards against an unexpected exception that ends a periodic task of a router, or that leaves no
- * trace in the log.
+ * Guards against an unexpected exception that ends a periodic task or the event loop of a router,
+ * or that leaves no trace in the log.
  */
 class FailingHandlerTest {
 
@@ -69,8 +72,10 @@
     fixture.close();
   }
 
-  private boolean isLogged(String cause) {
-    return logged.stream().anyMatch(r -> String.valueOf(r.getThrown()).contains(cause));
+  private boolean isLogged(Class<?> by) {
+    return logged.stream()
+        .filter(r -> String.valueOf(r.getThrown()).contains("the clock fails"))
+        .anyMatch(r -> r.getLoggerName().equals(by.getName()));
   }
 
   @Example
@@ -78,9 +83,38 @@
     fixture.clockFails = true;
     Thread.sleep(FAILURE_MILLIS);
     fixture.clockFails = false;
-    assertThat(isLogged("the clock fails")).isTrue();
+    assertThat(isLogged(PeriodicTasks.class)).isTrue();
     try (Socket idle = fixture.connect()) {
       assertThat(idle.getInputStream().read()).isEqualTo(-1);
     }
   }
+
+  @Example
+  void requestWhoseHandlerThrowsEndsItsConnectionOnlyAndIsLogged() throws Exception {
+    try (Socket socket = fixture.connect()) {
+      GatewayFixture.await(() -> isConnected());
+      fixture.clockFails = true;
+      assertThat(lastBytes(socket)).isEmpty();
+      GatewayFixture.await(() -> isLogged(ClientConnection.class));
+    }
+    fixture.clockFails = false;
+    assertThat(fixture.call("GET", "/safe/a", "", "")).endsWith("ok");
+  }
+
+  /** Returns whether the router has set up the connections that were opened before. */
+  private boolean isConnected() {
+    try {
+      return fixture.call("GET", "/safe/a", "", "").endsWith("ok");
+    } catch (IOException e) {
+      throw new AssertionError(e);
+    }
+  }
+
+  private static String lastBytes(Socket socket) throws IOException {
+    try {
+      return GatewayFixture.sendRaw(socket, "GET /safe/a HTTP/1.1\r\nHost: h\r\nX-Id: 1\r\n\r\n");
+    } catch (SocketException e) {
+      return "";
+    }
+  }
 }
