Decode upstream states beyond the known ones without an exception

A state above 2^31 in an update or notice of a control daemon became a negative array index. The exception kept back all other entries of the message, and the sender repeats it.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -321,7 +321,10 @@
 
   /** Returns the entry; a state that only a later release knows is decoded as {@code GONE}. */
   static org.goldcrestfall.core.registry.UpstreamEntry decodeEntry(UpstreamEntry e) {
-    UpstreamState state = e.getState() < STATES.length ? STATES[e.getState()] : UpstreamState.GONE;
+    UpstreamState state =
+        Integer.compareUnsigned(e.getState(), STATES.length) < 0
+            ? STATES[e.getState()]
+            : UpstreamState.GONE;
     return new org.goldcrestfall.core.registry.UpstreamEntry(
         e.getId(),
         e.getService(),
