--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
@@ -21,6 +22,7 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.netty.handler.codec.http.TooLongHttpLineException;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Deque;
@@ -40,6 +42,7 @@
   private final Deque<Object> pendingMessages = new ArrayDeque<>();
   private Channel channel;
   private HttpRequest head;
+  private boolean headRequest;
   private CompositeByteBuf body;
   private int reservedBufferBytes;
   private Exchange exchange;
@@ -93,6 +96,7 @@
 
   private void onHead(HttpRequest request) {
     readStartedAtMillis = gateway.now();
+    headRequest = request.method().equals(HttpMethod.HEAD);
     if (request.decoderResult().isFailure()) {
       Throwable cause = request.decoderResult().cause();
       boolean tooLong =
@@ -166,9 +170,12 @@
             + kind.retryable()
             + "}}\n";
     ByteBuf bytes = Unpooled.copiedBuffer(json, StandardCharsets.UTF_8);
+    // The caller would take the body of a response to HEAD for the start of the next response.
     var response =
         new DefaultFullHttpResponse(
-            HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(kind.status()), bytes);
+            HttpVersion.HTTP_1_1,
+            HttpResponseStatus.valueOf(kind.status()),
+            headRequest ? Unpooled.EMPTY_BUFFER : bytes);
     response.headers().set(HttpHeaderNames.CONTENT_TYPE, HttpHeaderValues.APPLICATION_JSON);
     response.headers().set(HttpHeaderNames.CONTENT_LENGTH, bytes.readableBytes());
     if (requestId != null) {
@@ -196,6 +203,12 @@
       r.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
     }
     lastWrite = channel.writeAndFlush(message);
+    lastWrite.addListener(
+        f -> {
+          if (!f.isSuccess()) {
+            closeAfterFailure(f.cause());
+          }
+        });
     if (closing) {
       lastWrite.addListener(ChannelFutureListener.CLOSE);
     }
@@ -205,6 +218,15 @@
     }
   }
 
+  /** A response that cannot be written must not leave its caller waiting. */
+  private void closeAfterFailure(Throwable cause) {
+    if (!(cause instanceof IOException)) {
+      logger.atSevere().withCause(cause).atMostEvery(1, TimeUnit.SECONDS).log(
+          "http: closing a caller's connection after an unexpected exception");
+    }
+    channel.close();
+  }
+
   /** Closes the connection after the current response. */
   void closeAfterResponse() {
     closing = true;
@@ -316,6 +338,6 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
-    channel.close();
+    closeAfterFailure(cause);
   }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -14,6 +14,8 @@
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
+import java.io.IOException;
+import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -164,7 +166,17 @@
       fail("malformed or unexpected response head");
       return;
     }
-    String id = head.headers().get(connections.headerNames().requestId());
+    int status = head.status().code();
+    if (status < 200 || status > 599) {
+      fail("status " + status + " is not that of a final response");
+      return;
+    }
+    GatewayHeaderNames headerNames = connections.headerNames();
+    if (ResponseHeads.isJoined(head, List.of(headerNames.requestId(), headerNames.signature()))) {
+      fail("the head consists of parts of two responses");
+      return;
+    }
+    String id = head.headers().get(headerNames.requestId());
     skippingResponse = id != null && !id.equals(requestId);
     if (skippingResponse) {
       logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
@@ -179,19 +191,11 @@
       return;
     }
     headReceived = true;
-    reusable = HttpUtil.isKeepAlive(head) && hasDefinedLength(head);
+    reusable = HttpUtil.isKeepAlive(head) && ResponseHeads.hasDefinedLength(head);
     readKeepAliveTimeout(head);
     receiver.onHead(head);
   }
 
-  private static boolean hasDefinedLength(HttpResponse head) {
-    int status = head.status().code();
-    return HttpUtil.isTransferEncodingChunked(head)
-        || HttpUtil.isContentLengthSet(head)
-        || status == 204
-        || status == 304;
-  }
-
   private void readKeepAliveTimeout(HttpResponse head) {
     String value = head.headers().get(HttpHeaderNames.KEEP_ALIVE);
     Matcher m = value == null ? null : KEEP_ALIVE_TIMEOUT.matcher(value);
@@ -268,6 +272,11 @@
   public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
     // Netty reports the end of input after this; it must not complete a response without a length.
     channelFailed = true;
+    if (!(cause instanceof IOException)) {
+      logger.atSevere().withCause(cause).atMostEvery(1, TimeUnit.SECONDS).log(
+          "upstream: closing a connection to %s after an unexpected exception",
+          upstream.entry().id());
+    }
     fail(String.valueOf(cause.getMessage()));
   }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -1,5 +1,6 @@
 package org.goldcrestfall.daemon.gateway;
 
+import static com.google.common.base.Preconditions.checkState;
 import static java.nio.charset.StandardCharsets.ISO_8859_1;
 
 import com.google.common.collect.ImmutableList;
@@ -64,8 +65,13 @@
           ImmutableSet.of("x-expect", "x-workspace", "x-rank", "x-hold"));
 
   private static final int TIMEOUT_SECONDS = 10;
+  private static final double RETRY_SLACK = 100;
 
   final Gateway gateway;
+
+  /** Whether reading the clock throws, which makes handlers and periodic tasks throw. */
+  volatile boolean clockFails;
+
   private final EventLoopGroup eventLoopGroup =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) eventLoopGroup.next();
@@ -86,7 +92,16 @@
    * @param seeds supplies the peer addresses of control daemons
    */
   GatewayFixture(Supplier<List<String>> seeds) throws Exception {
-    MillisClock clock = MillisClock.monotonic();
+    this(seeds, RETRY_SLACK);
+  }
+
+  private GatewayFixture(Supplier<List<String>> seeds, double retrySlack) throws Exception {
+    MillisClock monotonic = MillisClock.monotonic();
+    MillisClock clock =
+        () -> {
+          checkState(!clockFails, "the clock fails");
+          return monotonic.nowMillis();
+        };
     transport =
         new NettyPeerTransport(
             new PeerSettings("r", "127.0.0.1", 0, "test", new byte[16]),
@@ -94,7 +109,7 @@
             eventLoopGroup);
     gateway =
         new Gateway(
-            new GatewaySettings("z", 0.2, 100, 10_000, 1 << 20),
+            new GatewaySettings("z", 0.2, retrySlack, 10_000, 1 << 20),
             HEADER_NAMES,
             loop,
             clock,
@@ -107,6 +122,11 @@
     server = GatewayServer.bind(gateway, loop, "127.0.0.1", 0);
   }
 
+  /** Starts a router that reaches no control daemon and may send requests again without limit. */
+  static GatewayFixture withUnlimitedRetries() throws Exception {
+    return new GatewayFixture(() -> List.of("127.0.0.1:1"), 1e9);
+  }
+
   static Route route(
       String prefix, RouteKind kind, int timeoutMillis, int maxAttempts, boolean resumable) {
     return new Route(
