--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/EventScannerTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/EventScannerTest.java
@@ -7,6 +7,7 @@
 import io.netty.buffer.Unpooled;
 import io.netty.buffer.UnpooledByteBufAllocator;
 import java.util.Random;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 
@@ -52,4 +53,18 @@
     last.release();
     end.release();
   }
+
+  /** Guards against a search that starts anew with each part: the work of 16 billion bytes. */
+  @Example
+  void longEventInPartsOfOneByteIsSearchedOnce() {
+    EventScanner scanner = new EventScanner();
+    ByteBuf in = Unpooled.copiedBuffer("x", US_ASCII);
+    long startMillis = System.currentTimeMillis();
+    while (!scanner.isEventTooLong()) {
+      scanner.feed(in, UnpooledByteBufAllocator.DEFAULT).release();
+    }
+    assertThat(System.currentTimeMillis() - startMillis).isLessThan(2_000);
+    scanner.discardIncompleteEvent();
+    in.release();
+  }
 }
