--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -58,7 +58,7 @@
   private long firstByteAtMillis = -1;
   private boolean open = true;
   private HttpResponse head;
-  private CompositeByteBuf bufferedBody;
+  private BodyBuffer bufferedBody;
 
   /** Adds the request to the load of the upstream; the caller then sends it on the connection. */
   Attempt(
@@ -164,7 +164,7 @@
     } else if (callerResponse.isCommitted()) {
       rejectResponse("status " + status + " in response to a resumed stream");
     } else {
-      bufferedBody = ByteBufAllocator.DEFAULT.compositeBuffer();
+      bufferedBody = new BodyBuffer(ByteBufAllocator.DEFAULT);
     }
   }
 
@@ -242,17 +242,16 @@
       }
       return;
     }
-    if (bufferedBody.readableBytes() + bytes.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
+    if (bufferedBody.size() + bytes.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
       if (Exchange.isTakenForNotRun(head.status().code())) {
         rejectResponse("status " + head.status().code() + " with a long body");
         return;
       }
-      callerResponse.forwardPart(head, bufferedBody);
+      callerResponse.forwardPart(head, bufferedBody.take());
       callerResponse.forwardPart(head, bytes.retain());
-      bufferedBody = ByteBufAllocator.DEFAULT.compositeBuffer();
       return;
     }
-    bufferedBody.addComponent(true, bytes.retain());
+    bufferedBody.append(bytes);
   }
 
   @Override
@@ -288,7 +287,7 @@
     if (head.status().code() / 100 == 2) {
       gateway.quarantine().onAnswerBegun(upstream, requestSize);
     }
-    CompositeByteBuf body = bufferedBody;
+    CompositeByteBuf body = bufferedBody.take();
     bufferedBody = null;
     recordEnd();
     if (callerResponse.isCommitted()) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -2,7 +2,6 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
@@ -40,7 +39,7 @@
   private final Deque<Object> pendingMessages = new ArrayDeque<>();
   private Channel channel;
   private HttpRequest head;
-  private CompositeByteBuf body;
+  private BodyBuffer body;
   private int reservedBufferBytes;
   private Exchange exchange;
   private ChannelFuture lastWrite;
@@ -103,7 +102,7 @@
       return;
     }
     head = request;
-    body = channel.alloc().compositeBuffer();
+    body = new BodyBuffer(channel.alloc());
     if (HttpUtil.getContentLength(request, 0L) > gateway.limits().maxBodyBytes()) {
       refuseAndClose(ErrorKind.BODY_TOO_LARGE, "The body is too long.");
     } else if (HttpUtil.is100ContinueExpected(request)) {
@@ -118,7 +117,7 @@
       return;
     }
     int bytes = content.content().readableBytes();
-    if (body.readableBytes() + bytes > gateway.limits().maxBodyBytes()) {
+    if (body.size() + bytes > gateway.limits().maxBodyBytes()) {
       refuseAndClose(ErrorKind.BODY_TOO_LARGE, "The body is too long.");
       return;
     }
@@ -127,9 +126,9 @@
       return;
     }
     reservedBufferBytes += bytes;
-    body.addComponent(true, content.content().retain());
+    body.append(content.content());
     if (content instanceof LastHttpContent) {
-      CallerRequest request = new CallerRequest(gateway.headerNames(), head, body);
+      CallerRequest request = new CallerRequest(gateway.headerNames(), head, body.take());
       exchange = new Exchange(gateway, this, request, readStartedAtMillis);
       head = null;
       body = null;
