--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -40,6 +40,9 @@
   /** Length from which on the rest of a response to another request is not read any more. */
   private static final long MAX_SKIPPED_BYTES = 1 << 20;
 
+  /** Number of responses to other requests from which on an upstream is taken to be faulty. */
+  private static final int MAX_SKIPPED_RESPONSES = 16;
+
   /**
    * Receives the response to one request. Unless the request is cancelled, the last call is exactly
    * one of {@link #onEnd} and {@link #onFailure}.
@@ -75,6 +78,7 @@
   private ChannelFuture requestWritten;
   private boolean skippingResponse;
   private long skippedBytes;
+  private int skippedResponses;
   private boolean headReceived;
   private boolean responseComplete;
   private boolean reusable;
@@ -107,6 +111,7 @@
     responseComplete = false;
     skippingResponse = false;
     skippedBytes = 0;
+    skippedResponses = 0;
     bytesReceived = false;
     decoder.setHeadRequest(request.method().equals(HttpMethod.HEAD));
     requestWritten = channel.writeAndFlush(request);
@@ -170,6 +175,9 @@
       logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
           "upstream: %s sent a response to request %s while %s is in flight",
           upstream.entry().id(), id, requestId);
+      if (++skippedResponses > MAX_SKIPPED_RESPONSES) {
+        fail("more than " + MAX_SKIPPED_RESPONSES + " responses to other requests");
+      }
       return;
     }
     if (id == null && (head.status().code() < 300 || reused && !requestId.isEmpty())) {
