Bound the number of header lines of a message

A head of 64 KiB in short lines takes more than a megabyte of heap. 400 such heads ended a router: its event loop ended with an OutOfMemoryError.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/RequestDecoder.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/RequestDecoder.java
@@ -18,7 +18,9 @@
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_LINE_BYTES)
             .setMaxHeaderSize(maxHeaderBytes)
-            .setMaxChunkSize(MAX_CHUNK_BYTES));
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
+            .setHeadersFactory(BoundedHeaders.FACTORY)
+            .setTrailersFactory(BoundedHeaders.FACTORY));
   }
 
   @Override
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ResponseDecoder.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ResponseDecoder.java
@@ -11,7 +11,7 @@
 final class ResponseDecoder extends HttpResponseDecoder {
 
   private static final int MAX_LINE_BYTES = 8_192;
-  private static final int MAX_HEADER_BYTES = 65_536;
+  private static final int MAX_HEADER_BYTES = 32_768;
   private static final int MAX_CHUNK_BYTES = 65_536;
 
   private boolean headRequest;
@@ -21,7 +21,9 @@
         new HttpDecoderConfig()
             .setMaxInitialLineLength(MAX_LINE_BYTES)
             .setMaxHeaderSize(MAX_HEADER_BYTES)
-            .setMaxChunkSize(MAX_CHUNK_BYTES));
+            .setMaxChunkSize(MAX_CHUNK_BYTES)
+            .setHeadersFactory(BoundedHeaders.FACTORY)
+            .setTrailersFactory(BoundedHeaders.FACTORY));
   }
 
   /** Sets whether the next response belongs to a HEAD request, and so has no body. */
