--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.dispatch.RequestSize;
 import org.goldcrestfall.core.dispatch.UpstreamLoad;
+import org.goldcrestfall.core.limit.FragmentLimit;
 import org.goldcrestfall.core.limit.StatedLimit;
 
 /**
@@ -58,6 +59,7 @@
   private long firstByteAtMillis = -1;
   private boolean open = true;
   private HttpResponse head;
+  private final FragmentLimit fragments = new FragmentLimit();
   private BodyBuffer bufferedBody;
 
   /** Adds the request to the load of the upstream; the caller then sends it on the connection. */
@@ -231,6 +233,10 @@
   @Override
   public void onBody(ByteBuf bytes) {
     recordFirstByte();
+    if (!fragments.onPart(bytes.readableBytes())) {
+      rejectResponse("the body is sent in too many small parts");
+      return;
+    }
     if (bufferedBody == null) {
       boolean begins = events() == 0;
       boolean accepted = callerResponse.forwardEvents(bytes);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -26,6 +26,7 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.limit.FragmentLimit;
 
 /**
  * A caller's connection: reads one request at a time, starts its exchange, and writes the response.
@@ -40,6 +41,7 @@
   private Channel channel;
   private HttpRequest head;
   private BodyBuffer body;
+  private FragmentLimit fragments;
   private int reservedBufferBytes;
   private Exchange exchange;
   private ChannelFuture lastWrite;
@@ -102,6 +104,7 @@
       return;
     }
     head = request;
+    fragments = new FragmentLimit();
     body = new BodyBuffer(channel.alloc());
     if (HttpUtil.getContentLength(request, 0L) > gateway.limits().maxBodyBytes()) {
       refuseAndClose(ErrorKind.BODY_TOO_LARGE, "The body is too long.");
@@ -117,6 +120,10 @@
       return;
     }
     int bytes = content.content().readableBytes();
+    if (!fragments.onPart(bytes)) {
+      refuseAndClose(ErrorKind.MALFORMED_REQUEST, "The body is sent in too many small parts.");
+      return;
+    }
     if (body.size() + bytes > gateway.limits().maxBodyBytes()) {
       refuseAndClose(ErrorKind.BODY_TOO_LARGE, "The body is too long.");
       return;
