Read at most 16 KiB of a connection at a time

Up to 16 reads of 64 KiB were handled before reading was paused for a caller that reads slowly. 400 of these exhausted the memory for direct buffers.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayServer.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayServer.java
@@ -54,6 +54,7 @@
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
             .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.RECVBUF_ALLOCATOR, ReadSizes.ALLOCATOR)
             .childHandler(childInitializer)
             .bind(address, port)
             .awaitUninterruptibly();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
@@ -155,6 +155,7 @@
         .group(loop)
         .channel(NioSocketChannel.class)
         .option(ChannelOption.TCP_NODELAY, true)
+        .option(ChannelOption.RECVBUF_ALLOCATOR, ReadSizes.ALLOCATOR)
         .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
         .handler(
             new ChannelInitializer<Channel>() {
