--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -36,6 +36,12 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /**
+   * Number of messages that are queued for a pipeline, about 128 requests. The connection is closed
+   * after the responses to these; the caller may send the others again.
+   */
+  private static final int MAX_PENDING_MESSAGES = 256;
+
   private final Gateway gateway;
   private final Deque<Object> pendingMessages = new ArrayDeque<>();
   private Channel channel;
@@ -46,6 +52,8 @@
   private Exchange exchange;
   private ChannelFuture lastWrite;
   private boolean refused;
+  private boolean pipelineTooLong;
+  private boolean handlingPendingMessages;
   private boolean closing;
   private long lastActivityAtMillis;
   private long readStartedAtMillis = -1;
@@ -67,12 +75,19 @@
 
   @Override
   public void channelRead(ChannelHandlerContext c, Object message) {
-    if (exchange != null || !pendingMessages.isEmpty()) {
-      pendingMessages.add(message);
-      channel.config().setAutoRead(false);
+    if (exchange == null && pendingMessages.isEmpty() && channel.isWritable()) {
+      handle(message);
       return;
     }
-    handle(message);
+    channel.config().setAutoRead(false);
+    if (pendingMessages.size() >= MAX_PENDING_MESSAGES) {
+      pipelineTooLong = true;
+    }
+    if (pipelineTooLong) {
+      ReferenceCountUtil.release(message);
+    } else {
+      pendingMessages.add(message);
+    }
   }
 
   private void handle(Object message) {
@@ -227,13 +242,33 @@
     exchange = null;
     lastActivityAtMillis = gateway.now();
     releaseBody();
-    if (gateway.isClosingIdle()) {
+    // While reading is paused, more of a pipeline may have arrived; it is answered first.
+    if (gateway.isClosingIdle() && channel.config().isAutoRead()) {
       closeIfIdle();
     }
-    while (exchange == null && !pendingMessages.isEmpty()) {
+    handlePendingMessages();
+  }
+
+  /**
+   * Handles queued messages while no request is open and the caller reads its responses: otherwise
+   * the responses to a long pipeline would be kept in memory.
+   */
+  private void handlePendingMessages() {
+    if (handlingPendingMessages) {
+      // An exchange has ended at once; the loop below goes on.
+      return;
+    }
+    handlingPendingMessages = true;
+    while (exchange == null && !pendingMessages.isEmpty() && channel.isWritable()) {
       handle(pendingMessages.poll());
     }
-    if (pendingMessages.isEmpty()) {
+    handlingPendingMessages = false;
+    if (exchange != null || !pendingMessages.isEmpty()) {
+      return;
+    }
+    if (pipelineTooLong) {
+      closeAfterLastWrite();
+    } else {
       channel.config().setAutoRead(true);
     }
   }
@@ -257,6 +292,10 @@
     if (exchange != null || readStartedAtMillis >= 0 || !pendingMessages.isEmpty() || closing) {
       return;
     }
+    closeAfterLastWrite();
+  }
+
+  private void closeAfterLastWrite() {
     closing = true;
     if (isWriting()) {
       lastWrite.addListener(ChannelFutureListener.CLOSE);
@@ -291,7 +330,8 @@
         && now - lastActivityAtMillis > gateway.limits().headerTimeoutMillis()) {
       refuseAndClose(ErrorKind.REQUEST_TIMEOUT, "The request was not sent in time.");
     } else if (readStartedAtMillis < 0
-        && now - lastActivityAtMillis > gateway.limits().idleTimeoutMillis()) {
+        && (gateway.isClosingIdle()
+            || now - lastActivityAtMillis > gateway.limits().idleTimeoutMillis())) {
       closeIfIdle();
     }
   }
@@ -300,6 +340,8 @@
   public void channelWritabilityChanged(ChannelHandlerContext c) {
     if (exchange != null) {
       exchange.onWritabilityChanged(channel.isWritable());
+    } else {
+      handlePendingMessages();
     }
   }
 
@@ -317,6 +359,8 @@
 
   @Override
   public void exceptionCaught(ChannelHandlerContext c, Throwable cause) {
+    logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+        "caller: connection closed because of %s", cause);
     channel.close();
   }
 }
