Bound the bytes of responses that a router keeps

Each response had a limit, their sum had none: 400 bodies of 250 KB exhausted the memory for direct buffers. The largest one is now passed on early or given up.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -260,8 +260,27 @@
     bufferedBody.append(bytes);
   }
 
+  /** Returns the bytes of a response that is not a stream. */
+  int bufferedBytes() {
+    return bufferedBody == null ? 0 : bufferedBody.size();
+  }
+
+  /**
+   * Forwards what has arrived of a successful response, which can then not be retried any more. Any
+   * other response is given up.
+   */
+  void shedBufferedBytes() {
+    if (bufferedBody == null || head.status().code() / 100 != 2) {
+      rejectResponse("too many bytes of responses are in memory");
+      return;
+    }
+    callerResponse.forwardPart(head, bufferedBody.take());
+    connection.setReading(callerResponse.flush());
+  }
+
   @Override
   public void onReadComplete() {
+    callerResponse.responseBytesHeld();
     if (callerResponse.isCommitted()) {
       connection.setReading(callerResponse.flush());
     }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerResponse.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/CallerResponse.java
@@ -127,6 +127,11 @@
     return !scanner.isEventTooLong();
   }
 
+  /** Returns the number of bytes after the last complete event. */
+  int incompleteBytes() {
+    return scanner == null ? 0 : scanner.incompleteBytes();
+  }
+
   /** Returns whether the stream has stopped inside an event. */
   boolean hasIncompleteEvent() {
     return scanner.hasIncompleteEvent();
@@ -207,6 +212,11 @@
     }
   }
 
+  /** Records the bytes that are kept for the caller. */
+  void responseBytesHeld() {
+    gateway.responseBytesHeld(client);
+  }
+
   /** Flushes what was written, and returns whether the caller's connection accepts more. */
   boolean flush() {
     client.channel().flush();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -8,6 +8,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -221,6 +222,7 @@
       lastWrite.addListener(ChannelFutureListener.CLOSE);
     }
     if (!lastWrite.isDone()) {
+      gateway.responseBytesHeld(this);
       gateway.responseWriteStarted();
       lastWrite.addListener(f -> gateway.responseWriteEnded());
     }
@@ -321,6 +323,24 @@
     }
   }
 
+  /** Returns the bytes of responses that are kept for this caller. */
+  long heldResponseBytes() {
+    ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
+    return (unwritten == null ? 0 : unwritten.totalPendingWriteBytes())
+        + (exchange == null ? 0 : exchange.heldResponseBytes());
+  }
+
+  /** Gives up the response that is kept for this caller, because too many are. */
+  void shedResponse() {
+    if (exchange != null && channel.isWritable()) {
+      exchange.shedResponse();
+    } else {
+      logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+          "caller: connection closed with %s bytes that it does not read", heldResponseBytes());
+      abort();
+    }
+  }
+
   /** Closes an idle connection, and refuses a request whose next bytes do not arrive in time. */
   void checkTimeouts(long now) {
     if (exchange != null || closing || isWriting()) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -514,6 +514,19 @@
     finish("caller_gone");
   }
 
+  /** Returns the bytes of the response that are not written to the caller's connection yet. */
+  long heldResponseBytes() {
+    return callerResponse.incompleteBytes()
+        + (currentAttempt == null ? 0 : currentAttempt.bufferedBytes());
+  }
+
+  /** Passes on or gives up a response of which too many bytes are kept. */
+  void shedResponse() {
+    if (currentAttempt != null) {
+      currentAttempt.shedBufferedBytes();
+    }
+  }
+
   /** Pauses reading from the upstream while the caller's connection is not writable. */
   void onWritabilityChanged(boolean writable) {
     if (currentAttempt != null && callerResponse.isCommitted()) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -13,6 +13,7 @@
 import org.goldcrestfall.core.gateway.ClientLimits;
 import org.goldcrestfall.core.gateway.DrainSchedule;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
+import org.goldcrestfall.core.limit.HeldBytes;
 import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.retry.RetryAllowance;
@@ -45,6 +46,9 @@
   private UpstreamRateLimiter rateLimiter;
   private GatewayConfiguration configuration;
   private long bufferedBytes;
+  private final HeldBytes<ClientConnection> responseBytes;
+  private boolean sheddingResponses;
+  private long shedResponseCount;
   private int openExchanges;
   private int unwrittenResponses;
   private DrainSchedule drainSchedule;
@@ -63,6 +67,7 @@
     this.loop = loop;
     this.clock = clock;
     this.metrics = metrics;
+    responseBytes = new HeldBytes<>(settings.maxResponseBytes());
     upstreams = new UpstreamConnections(loop, clock, headerNames);
     upstreamSelector = new ExpectedWaitSelector(settings.zone());
   }
@@ -84,6 +89,10 @@
         "suspect_parts",
         "Prompt parts under which upstreams crashed",
         () -> quarantine.view().parts().size());
+    metrics.gauge(
+        "shed_responses",
+        "Responses passed on early or given up because too many bytes of responses were kept",
+        () -> shedResponseCount);
     loop.scheduleWithFixedDelay(
         this::checkTimeouts,
         TIMEOUT_CHECK_INTERVAL_MILLIS,
@@ -192,6 +201,7 @@
 
   void clientDisconnected(ClientConnection client) {
     clients.remove(client);
+    responseBytes.set(client, 0);
   }
 
   /** Reserves memory for a request body, or returns false if too little is left. */
@@ -207,6 +217,30 @@
     bufferedBytes -= bytes;
   }
 
+  /** Records the bytes of responses that are kept for a caller; if all are too many, some go. */
+  void responseBytesHeld(ClientConnection client) {
+    responseBytes.set(client, client.heldResponseBytes());
+    if (responseBytes.isExceeded() && !sheddingResponses) {
+      sheddingResponses = true;
+      loop.execute(this::shedResponses);
+    }
+  }
+
+  private void shedResponses() {
+    sheddingResponses = false;
+    // The records of callers that have read since then are out of date.
+    clients.forEach(c -> responseBytes.set(c, c.heldResponseBytes()));
+    while (responseBytes.isExceeded()) {
+      ClientConnection client = responseBytes.largest().orElseThrow();
+      long before = client.heldResponseBytes();
+      client.shedResponse();
+      shedResponseCount++;
+      // What was forwarded counts until the caller has read it, and may be shed again later.
+      long after = client.heldResponseBytes();
+      responseBytes.set(client, after < before ? after : 0);
+    }
+  }
+
   RetryAllowance retryAllowance(String service) {
     return retryAllowances.computeIfAbsent(
         service,
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewaySettings.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewaySettings.java
@@ -8,10 +8,12 @@
  * @param retrySlack allowed retries per window in addition to the ratio, over all routers
  * @param retryWindowMillis length of that window
  * @param maxBufferedBytes limit on the total size of request bodies in memory
+ * @param maxResponseBytes limit on the total size of the parts of responses in memory
  */
 public record GatewaySettings(
     String zone,
     double retryRatio,
     double retrySlack,
     long retryWindowMillis,
-    long maxBufferedBytes) {}
+    long maxBufferedBytes,
+    long maxResponseBytes) {}
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -91,7 +91,7 @@
             eventLoopGroup);
     gateway =
         new Gateway(
-            new GatewaySettings("z", 0.2, 100, 10_000, 1 << 20),
+            new GatewaySettings("z", 0.2, 100, 10_000, 1 << 20, 16 << 20),
             HEADER_NAMES,
             loop,
             clock,
