--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/EndlessResponseTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/EndlessResponseTest.java
@@ -91,6 +91,44 @@
     assertFailsSoon("/unsafe/a", endless(head, NO_LINE_END));
   }
 
+  @Example
+  void endlessResponsesToOtherRequestsEndTheAttempt() throws Exception {
+    String other = "HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 0\r\n\r\n";
+    assertFailsSoon("/unsafe/a", endless("", other));
+  }
+
+  @Example
+  void endlessChunksOfOneByteEndTheAttempt() throws Exception {
+    String head =
+        "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    assertFailsSoon("/unsafe/a", endless(head, "1\r\nx\r\n".repeat(1_000)));
+  }
+
+  @Example
+  void endlessTrailersEndTheAttempt() throws Exception {
+    String head =
+        "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: s\r\nTransfer-Encoding: chunked\r\n\r\n"
+            + "1\r\nx\r\n0\r\n";
+    assertFailsSoon("/unsafe/a", endless(head, "X-A: b\r\n"));
+  }
+
+  @Example
+  void lengthsThatNoBodyCanHaveEndTheAttempt() throws Exception {
+    for (String size : new String[] {"7fffffffffffffff1", "-1", "ffffffffffffffff"}) {
+      String head =
+          "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: s\r\n"
+              + "Transfer-Encoding: chunked\r\n\r\n"
+              + size
+              + "\r\n";
+      assertFailsSoon("/unsafe/a", endless(head, NO_LINE_END));
+    }
+    for (String length : new String[] {"9223372036854775808", "-1", "1\r\nContent-Length: 2"}) {
+      String head =
+          "HTTP/1.1 200 OK\r\nX-Id: ID\r\nX-Signature: s\r\nContent-Length: " + length + "\r\n\r\n";
+      assertFailsSoon("/unsafe/a", endless(head, NO_LINE_END));
+    }
+  }
+
   /** The body is forwarded as it arrives, so it must never look complete. */
   @Example
   void endlessBodyIsBrokenOffAtTheTimeoutOfTheRoute() throws Exception {
