--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/EventScannerTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/EventScannerTest.java
@@ -54,7 +54,7 @@
     end.release();
   }
 
-  /** Guards against a search that starts anew with each part: the work of 16 billion bytes. */
+  /** Guards against a search that starts anew with each part: the work of 34 billion bytes. */
   @Example
   void longEventInPartsOfOneByteIsSearchedOnce() {
     EventScanner scanner = new EventScanner();
