--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.dispatch.RequestSize;
 import org.goldcrestfall.core.dispatch.UpstreamLoad;
+import org.goldcrestfall.core.limit.FragmentLimit;
 import org.goldcrestfall.core.limit.StatedLimit;
 
 /**
@@ -58,7 +59,8 @@
   private long firstByteAtMillis = -1;
   private boolean open = true;
   private HttpResponse head;
-  private CompositeByteBuf bufferedBody;
+  private final FragmentLimit fragments = new FragmentLimit();
+  private BodyBuffer bufferedBody;
 
   /** Adds the request to the load of the upstream; the caller then sends it on the connection. */
   Attempt(
@@ -164,7 +166,7 @@
     } else if (callerResponse.isCommitted()) {
       rejectResponse("status " + status + " in response to a resumed stream");
     } else {
-      bufferedBody = ByteBufAllocator.DEFAULT.compositeBuffer();
+      bufferedBody = new BodyBuffer(ByteBufAllocator.DEFAULT);
     }
   }
 
@@ -231,6 +233,10 @@
   @Override
   public void onBody(ByteBuf bytes) {
     recordFirstByte();
+    if (!fragments.onPart(bytes.readableBytes())) {
+      rejectResponse("the body is sent in too many small parts");
+      return;
+    }
     if (bufferedBody == null) {
       boolean begins = events() == 0;
       boolean accepted = callerResponse.forwardEvents(bytes);
@@ -242,21 +248,39 @@
       }
       return;
     }
-    if (bufferedBody.readableBytes() + bytes.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
+    if (bufferedBody.size() + bytes.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
       if (Exchange.isTakenForNotRun(head.status().code())) {
         rejectResponse("status " + head.status().code() + " with a long body");
         return;
       }
-      callerResponse.forwardPart(head, bufferedBody);
+      callerResponse.forwardPart(head, bufferedBody.take());
       callerResponse.forwardPart(head, bytes.retain());
-      bufferedBody = ByteBufAllocator.DEFAULT.compositeBuffer();
       return;
     }
-    bufferedBody.addComponent(true, bytes.retain());
+    bufferedBody.append(bytes);
+  }
+
+  /** Returns the bytes of a response that is not a stream. */
+  int bufferedBytes() {
+    return bufferedBody == null ? 0 : bufferedBody.size();
+  }
+
+  /**
+   * Forwards what has arrived of a successful response, which can then not be retried any more. Any
+   * other response is given up.
+   */
+  void shedBufferedBytes() {
+    if (bufferedBody == null || head.status().code() / 100 != 2) {
+      rejectResponse("too many bytes of responses are in memory");
+      return;
+    }
+    callerResponse.forwardPart(head, bufferedBody.take());
+    connection.setReading(callerResponse.flush());
   }
 
   @Override
   public void onReadComplete() {
+    callerResponse.responseBytesHeld();
     if (callerResponse.isCommitted()) {
       connection.setReading(callerResponse.flush());
     }
@@ -292,7 +316,7 @@
     if (head.status().code() / 100 == 2) {
       gateway.quarantine().onAnswerBegun(upstream, requestSize);
     }
-    CompositeByteBuf body = bufferedBody;
+    CompositeByteBuf body = bufferedBody.take();
     bufferedBody = null;
     recordEnd();
     if (callerResponse.isCommitted()) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -2,13 +2,13 @@
 
 import com.google.common.flogger.FluentLogger;
 import io.netty.buffer.ByteBuf;
-import io.netty.buffer.CompositeByteBuf;
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -29,6 +29,7 @@
 import java.util.Locale;
 import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.common.ErrorKind;
+import org.goldcrestfall.core.limit.FragmentLimit;
 
 /**
  * A caller's connection: reads one request at a time, starts its exchange, and writes the response.
@@ -38,16 +39,25 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /**
+   * Number of messages that are queued for a pipeline, about 128 requests. The connection is closed
+   * after the responses to these; the caller may send the others again.
+   */
+  private static final int MAX_PENDING_MESSAGES = 256;
+
   private final Gateway gateway;
   private final Deque<Object> pendingMessages = new ArrayDeque<>();
   private Channel channel;
   private HttpRequest head;
   private boolean headRequest;
-  private CompositeByteBuf body;
+  private BodyBuffer body;
+  private FragmentLimit fragments;
   private int reservedBufferBytes;
   private Exchange exchange;
   private ChannelFuture lastWrite;
   private boolean refused;
+  private boolean pipelineTooLong;
+  private boolean handlingPendingMessages;
   private boolean closing;
   private long lastActivityAtMillis;
   private long readStartedAtMillis = -1;
@@ -69,12 +79,19 @@
 
   @Override
   public void channelRead(ChannelHandlerContext c, Object message) {
-    if (exchange != null || !pendingMessages.isEmpty()) {
-      pendingMessages.add(message);
-      channel.config().setAutoRead(false);
+    if (exchange == null && pendingMessages.isEmpty() && channel.isWritable()) {
+      handle(message);
       return;
     }
-    handle(message);
+    channel.config().setAutoRead(false);
+    if (pendingMessages.size() >= MAX_PENDING_MESSAGES) {
+      pipelineTooLong = true;
+    }
+    if (pipelineTooLong) {
+      ReferenceCountUtil.release(message);
+    } else {
+      pendingMessages.add(message);
+    }
   }
 
   private void handle(Object message) {
@@ -107,7 +124,8 @@
       return;
     }
     head = request;
-    body = channel.alloc().compositeBuffer();
+    fragments = new FragmentLimit();
+    body = new BodyBuffer(channel.alloc());
     if (HttpUtil.getContentLength(request, 0L) > gateway.limits().maxBodyBytes()) {
       refuseAndClose(ErrorKind.BODY_TOO_LARGE, "The body is too long.");
     } else if (HttpUtil.is100ContinueExpected(request)) {
@@ -122,7 +140,11 @@
       return;
     }
     int bytes = content.content().readableBytes();
-    if (body.readableBytes() + bytes > gateway.limits().maxBodyBytes()) {
+    if (!fragments.onPart(bytes)) {
+      refuseAndClose(ErrorKind.MALFORMED_REQUEST, "The body is sent in too many small parts.");
+      return;
+    }
+    if (body.size() + bytes > gateway.limits().maxBodyBytes()) {
       refuseAndClose(ErrorKind.BODY_TOO_LARGE, "The body is too long.");
       return;
     }
@@ -131,9 +153,9 @@
       return;
     }
     reservedBufferBytes += bytes;
-    body.addComponent(true, content.content().retain());
+    body.append(content.content());
     if (content instanceof LastHttpContent) {
-      CallerRequest request = new CallerRequest(gateway.headerNames(), head, body);
+      CallerRequest request = new CallerRequest(gateway.headerNames(), head, body.take());
       exchange = new Exchange(gateway, this, request, readStartedAtMillis);
       head = null;
       body = null;
@@ -213,6 +235,7 @@
       lastWrite.addListener(ChannelFutureListener.CLOSE);
     }
     if (!lastWrite.isDone()) {
+      gateway.responseBytesHeld(this);
       gateway.responseWriteStarted();
       lastWrite.addListener(f -> gateway.responseWriteEnded());
     }
@@ -247,10 +270,29 @@
       // The caller may send its next request at once.
       gateway.afterReading(this::closeIfIdle);
     }
-    while (exchange == null && !pendingMessages.isEmpty()) {
+    handlePendingMessages();
+  }
+
+  /**
+   * Handles queued messages while no request is open and the caller reads its responses: otherwise
+   * the responses to a long pipeline would be kept in memory.
+   */
+  private void handlePendingMessages() {
+    if (handlingPendingMessages) {
+      // An exchange has ended at once; the loop below goes on.
+      return;
+    }
+    handlingPendingMessages = true;
+    while (exchange == null && !pendingMessages.isEmpty() && channel.isWritable()) {
       handle(pendingMessages.poll());
     }
-    if (pendingMessages.isEmpty()) {
+    handlingPendingMessages = false;
+    if (exchange != null || !pendingMessages.isEmpty()) {
+      return;
+    }
+    if (pipelineTooLong) {
+      closeAfterLastWrite();
+    } else {
       channel.config().setAutoRead(true);
     }
   }
@@ -274,6 +316,10 @@
     if (exchange != null || readStartedAtMillis >= 0 || !pendingMessages.isEmpty() || closing) {
       return;
     }
+    closeAfterLastWrite();
+  }
+
+  private void closeAfterLastWrite() {
     closing = true;
     if (isWriting()) {
       lastWrite.addListener(ChannelFutureListener.CLOSE);
@@ -303,6 +349,24 @@
     }
   }
 
+  /** Returns the bytes of responses that are kept for this caller. */
+  long heldResponseBytes() {
+    ChannelOutboundBuffer unwritten = channel.unsafe().outboundBuffer();
+    return (unwritten == null ? 0 : unwritten.totalPendingWriteBytes())
+        + (exchange == null ? 0 : exchange.heldResponseBytes());
+  }
+
+  /** Gives up the response that is kept for this caller, because too many are. */
+  void shedResponse() {
+    if (exchange != null && channel.isWritable()) {
+      exchange.shedResponse();
+    } else {
+      logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
+          "caller: connection closed with %s bytes that it does not read", heldResponseBytes());
+      abort();
+    }
+  }
+
   /** Closes an idle connection, and refuses a request whose next bytes do not arrive in time. */
   void checkTimeouts(long now) {
     if (exchange != null || closing || isWriting()) {
@@ -312,7 +376,8 @@
         && now - lastActivityAtMillis > gateway.limits().headerTimeoutMillis()) {
       refuseAndClose(ErrorKind.REQUEST_TIMEOUT, "The request was not sent in time.");
     } else if (readStartedAtMillis < 0
-        && now - lastActivityAtMillis > gateway.limits().idleTimeoutMillis()) {
+        && (gateway.isClosingIdle()
+            || now - lastActivityAtMillis > gateway.limits().idleTimeoutMillis())) {
       closeIfIdle();
     }
   }
@@ -321,6 +386,8 @@
   public void channelWritabilityChanged(ChannelHandlerContext c) {
     if (exchange != null) {
       exchange.onWritabilityChanged(channel.isWritable());
+    } else {
+      handlePendingMessages();
     }
   }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -109,7 +109,7 @@
             eventLoopGroup);
     gateway =
         new Gateway(
-            new GatewaySettings("z", 0.2, retrySlack, 10_000, 1 << 20),
+            new GatewaySettings("z", 0.2, retrySlack, 10_000, 1 << 20, 16 << 20),
             HEADER_NAMES,
             loop,
             clock,
