--- a/core/src/test/java/org/goldcrestfall/core/limit/FragmentLimitTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/limit/FragmentLimitTest.java
@@ -29,7 +29,7 @@
   }
 
   @Example
-  void someSmallPartsInALongBodyAreAccepted() {
+  void someSmallPartsInLongBodyAreAccepted() {
     assertThat(acceptsAll(100, 16_384)).isTrue();
     assertThat(acceptsAll(100_000, 1)).isTrue();
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/BoundedHeaders.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/BoundedHeaders.java
@@ -7,8 +7,8 @@
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 
 /**
- * The header lines of a message, of a bounded number. A short line takes many times its bytes on the
- * heap, so a bound on the bytes received is not enough.
+ * The header lines of a message, of a bounded number. A short line takes many times its bytes on
+ * the heap, so a bound on the bytes received is not enough.
  */
 final class BoundedHeaders extends DefaultHttpHeaders {
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/EventScanner.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/EventScanner.java
@@ -53,7 +53,7 @@
       append(bytes, bytes.readerIndex(), allocator);
       return Unpooled.EMPTY_BUFFER;
     }
-    ByteBuf completeEvents =
+    final ByteBuf completeEvents =
         allocator
             .buffer(completeEnd)
             .writeBytes(incompleteEvent)
