--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/SseDecoder.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/SseDecoder.java
@@ -22,7 +22,8 @@
   private static final byte[] DATA_FIELD = {'d', 'a', 't', 'a', ':'};
   private static final byte[] DONE_VALUE = {'[', 'D', 'O', 'N', 'E', ']'};
 
-  private byte[] partialLine = new byte[0];
+  private byte[] buffer = new byte[0];
+  private int length;
   private boolean done;
 
   /** Returns whether the {@code [DONE]} event was read. */
@@ -36,29 +37,34 @@
    * @throws IOException if a line is too long or an event is not a JSON object
    */
   public List<TokenEvent> decode(ByteString chunk) throws IOException {
-    byte[] bytes = join(chunk);
+    int searched = length;
+    append(chunk);
     List<TokenEvent> out = new ArrayList<>(2);
     int start = 0;
-    for (int i = 0; i < bytes.length; i++) {
-      if (bytes[i] == '\n') {
-        decodeLine(bytes, start, i, out);
+    for (int i = searched; i < length; i++) {
+      if (buffer[i] == '\n') {
+        decodeLine(buffer, start, i, out);
         start = i + 1;
       }
     }
-    partialLine = start == 0 ? bytes : Arrays.copyOfRange(bytes, start, bytes.length);
-    if (partialLine.length > MAX_LINE_BYTES) {
+    length -= start;
+    System.arraycopy(buffer, start, buffer, 0, length);
+    if (length > MAX_LINE_BYTES) {
       throw new IOException("engine sent a line of more than " + MAX_LINE_BYTES + " bytes");
     }
     return out;
   }
 
-  private byte[] join(ByteString chunk) {
-    if (partialLine.length == 0) {
-      return chunk.toArray();
+  /**
+   * Adds to the incomplete line; the buffer doubles, so that a line is not copied with each part.
+   */
+  private void append(ByteString chunk) {
+    int needed = length + chunk.size();
+    if (needed > buffer.length) {
+      buffer = Arrays.copyOf(buffer, Math.max(needed, 2 * length));
     }
-    byte[] all = Arrays.copyOf(partialLine, partialLine.length + chunk.size());
-    System.arraycopy(chunk.toArray(), 0, all, partialLine.length, chunk.size());
-    return all;
+    chunk.copyToArray(buffer, length);
+    length = needed;
   }
 
   private void decodeLine(byte[] b, int from, int to, List<TokenEvent> out) throws IOException {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/upstream/SseDecoderTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/upstream/SseDecoderTest.java
@@ -1,6 +1,7 @@
 package org.goldcrestfall.daemon.upstream;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -48,4 +49,20 @@
     d.decode(ByteString.fromString("data: {\"offset\":0,\"choices\":[]}\n"));
     assertThat(d.isDone()).isFalse();
   }
+
+  /** Guards against work that grows with the square of the length of a line. */
+  @Example
+  void endlessLineInPartsOfOneByteIsEndedSoon() {
+    SseDecoder d = new SseDecoder();
+    ByteString part = ByteString.fromString("x");
+    long startMillis = System.currentTimeMillis();
+    assertThatThrownBy(
+            () -> {
+              while (System.currentTimeMillis() - startMillis < 5_000) {
+                d.decode(part);
+              }
+            })
+        .isInstanceOf(IOException.class)
+        .hasMessageContaining("a line of more than");
+  }
 }
