End a chat stream that delivers no token, whatever else its engine sends

The time limit between events counted every event, so that an engine that sent an event without a token now and then kept its caller waiting without end. The limit now applies to tokens, after the events have been read; the first token keeps the caller's deadline.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/ChatStream.java
@@ -33,7 +33,7 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Time without an event from an engine after which the attempt fails. */
+  /** Time without a token from an engine after which the attempt fails. */
   static final long STALL_TIMEOUT_MILLIS = 10_000;
 
   /** Time limit for resuming a failed stream whose first token was already forwarded. */
@@ -144,10 +144,11 @@
     return Source.completionStageSource(
             dependencies.client().open(engine.address(), body, remaining))
         .mapMaterializedValue(m -> NotUsed.getInstance())
-        .via(new StallTimeout<>(dependencies.clock(), Math.max(STALL_TIMEOUT_MILLIS, remaining)))
         .map(events -> processEvents(start.attempt(), events))
         .takeWhile(tokens -> !truncated, true)
         .filter(tokens -> !tokens.isEmpty())
+        // Only tokens count: an engine that stalls may still send events without any.
+        .via(new StallTimeout<>(dependencies.clock(), Math.max(STALL_TIMEOUT_MILLIS, remaining)))
         .concatLazy(Source.lazySource(() -> checkComplete(start.attempt())));
   }
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/StallTimeout.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/StallTimeout.java
@@ -83,7 +83,7 @@
     @Override
     public void onTimer(Object key) {
       if (waiting && clock.nowMillis() - waitingSinceMillis >= timeoutMillis) {
-        failStage(new TimeoutException("no event for " + timeoutMillis + " ms"));
+        failStage(new TimeoutException("no token for " + timeoutMillis + " ms"));
       }
     }
   }
