Do not reuse a connection on which bytes have arrived after a response

Bytes that do not end a line, or lines that do not end a head, do not leave the decoder, so a kept connection on which an upstream had written the start of a late second copy was used again. The next caller got a 502, although its request was sound.

The decoder now reports all bytes after the end of a response until a head has been read from them, and such a connection is replaced by a new one. GatewayTest.bytesOnIdleConnectionDoNotFailTheNextRequest failed before with half a line; lateSecondCopyOnConnectionInUseAgain... passed when written.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ResponseDecoder.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ResponseDecoder.java
@@ -1,8 +1,13 @@
 package org.goldcrestfall.daemon.gateway;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.handler.codec.http.LastHttpContent;
+import java.util.List;
 
 /**
  * Decodes the responses of upstreams. It takes into account whether the request was a HEAD, and
@@ -15,6 +20,8 @@
   private static final int MAX_CHUNK_BYTES = 65_536;
 
   private boolean headRequest;
+  private boolean ended;
+  private boolean bytesAfterEnd;
 
   ResponseDecoder() {
     super(
@@ -31,7 +38,22 @@
 
   /** Returns whether bytes have arrived that are not part of a decoded response. */
   boolean hasUnreadBytes() {
-    return actualReadableBytes() > 0;
+    return bytesAfterEnd || actualReadableBytes() > 0;
+  }
+
+  @Override
+  protected void decode(ChannelHandlerContext c, ByteBuf in, List<Object> out) throws Exception {
+    // The status line and headers are consumed line by line, before a head is decoded.
+    bytesAfterEnd |= ended && in.isReadable();
+    int before = out.size();
+    super.decode(c, in, out);
+    for (Object message : out.subList(before, out.size())) {
+      if (message instanceof HttpResponse) {
+        ended = false;
+        bytesAfterEnd = false;
+      }
+      ended |= message instanceof LastHttpContent;
+    }
   }
 
   @Override
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -137,6 +137,7 @@
   boolean isUsable(long nowMillis) {
     return channel.isActive()
         && receiver == null
+        && !decoder.hasUnreadBytes()
         && nowMillis - idleSinceMillis < idleTimeoutMillis;
   }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -7,6 +7,7 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
@@ -175,6 +176,46 @@
     }
   }
 
+  /** Guards against the response to an earlier request that is sent once more, late. */
+  @Example
+  void lateSecondCopyOnConnectionInUseAgainReachesNoOtherRequest() throws Exception {
+    List<String> ids = new CopyOnWriteArrayList<>();
+    List<Socket> connections = new CopyOnWriteArrayList<>();
+    fixture.addUpstream(
+        "u1",
+        c -> {
+          if (!ids.isEmpty()) {
+            c.write(ScriptedUpstream.formatResponse(ids.get(ids.size() - 1), 200, SIGNED, "old"));
+            Thread.sleep(50);
+          }
+          ids.add(c.header("X-Id"));
+          connections.add(c.socket());
+          c.reply(200, SIGNED, "mine");
+        });
+    for (int i = 0; i < 4; i++) {
+      assertThat(fixture.call("POST", "/unsafe/a", "", "")).endsWith("mine");
+    }
+    assertThat(connections).containsOnly(connections.get(0));
+  }
+
+  /** Guards against a request that is sent on a connection whose upstream is out of step. */
+  @Example
+  void bytesOnIdleConnectionDoNotFailTheNextRequest() throws Exception {
+    for (String bytes : List.of("odd", "HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nX-Id: 1")) {
+      fixture.addUpstream(
+          "u1",
+          c -> {
+            c.reply(200, SIGNED, "mine");
+            Thread.sleep(50);
+            c.write(bytes);
+          });
+      for (int i = 0; i < 2; i++) {
+        assertThat(fixture.call("POST", "/unsafe/a", "", "")).as(bytes).endsWith("mine");
+        Thread.sleep(150);
+      }
+    }
+  }
+
   /** An upstream may respond early and read the rest of the body later on the same connection. */
   @Example
   void earlyResponseIsForwardedAndTheRequestBodyIsStillSentCompletely() throws Exception {
