--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -142,6 +142,7 @@
   boolean isUsable(long nowMillis) {
     return channel.isActive()
         && receiver == null
+        && !decoder.hasUnreadBytes()
         && nowMillis - idleSinceMillis < idleTimeoutMillis;
   }
 
