--- a/daemon/src/main/java/org/goldcrestfall/daemon/upstream/SseDecoder.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/upstream/SseDecoder.java
@@ -48,7 +48,9 @@
       }
     }
     length -= start;
-    System.arraycopy(buffer, start, buffer, 0, length);
+    if (start > 0) {
+      System.arraycopy(buffer, start, buffer, 0, length);
+    }
     if (length > MAX_LINE_BYTES) {
       throw new IOException("engine sent a line of more than " + MAX_LINE_BYTES + " bytes");
     }
