Let a stopping router finish what callers are sending

What callers saw: on a kept connection whose stream had begun before the SIGTERM, the next request met the close; a request whose body was still being sent at the end of a drain was cut.

Cause: a connection counted as idle from the moment at which its response ended, or at which it was accepted. The caller had not been told to leave, and its request was on its way.

Change: in a drain, a connection is closed once it has not been used for 200 ms, and the router stops once no request is being read and no connection was used so recently, or its time is up.

Tests: callerThatWasNotToldToLeaveCanSendItsNextRequest failed with a time of 0; routerDoesNotStopWhileTheBodyOfRequestIsBeingSent asks what the router did not consider before.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -36,6 +36,12 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
+  /**
+   * How long a connection is kept after its last use in a drain. A caller that was not told to
+   * leave often sends its next request at once, and would send it into the close.
+   */
+  private static final long NEXT_REQUEST_MILLIS = 200;
+
   private final Gateway gateway;
   private final Deque<Object> pendingMessages = new ArrayDeque<>();
   private Channel channel;
@@ -222,8 +228,7 @@
     lastActivityAtMillis = gateway.now();
     releaseBody();
     if (gateway.isClosingIdle()) {
-      // The caller may send its next request at once.
-      gateway.afterReading(this::closeIfIdle);
+      closeIfIdle();
     }
     while (exchange == null && !pendingMessages.isEmpty()) {
       handle(pendingMessages.poll());
@@ -246,12 +251,18 @@
 
   /**
    * Closes the connection if no request is open, queued or being read, once the last response has
-   * been written.
+   * been written and the caller has not used the connection for some time.
    */
   void closeIfIdle() {
     if (exchange != null || readStartedAtMillis >= 0 || !pendingMessages.isEmpty() || closing) {
       return;
     }
+    long quietMillis = gateway.now() - lastActivityAtMillis;
+    if (quietMillis < NEXT_REQUEST_MILLIS) {
+      long leftMillis = NEXT_REQUEST_MILLIS - quietMillis;
+      gateway.loop().schedule(this::closeIfIdle, leftMillis, TimeUnit.MILLISECONDS);
+      return;
+    }
     closing = true;
     if (isWriting()) {
       lastWrite.addListener(ChannelFutureListener.CLOSE);
@@ -260,6 +271,12 @@
     }
   }
 
+  /** Returns whether a request is being read, or is likely to arrive soon. */
+  boolean isRequestExpected() {
+    return !closing
+        && (readStartedAtMillis >= 0 || gateway.now() - lastActivityAtMillis < NEXT_REQUEST_MILLIS);
+  }
+
   /** Returns whether the caller has not taken all bytes of the last response yet. */
   private boolean isWriting() {
     return lastWrite != null && !lastWrite.isDone();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -172,7 +172,7 @@
    * this, a task that was queued while the loop was busy or had no processor would close
    * connections with a request that has not been read.
    */
-  void afterReading(Runnable task) {
+  public void afterReading(Runnable task) {
     loop.schedule(task, READING_MILLIS, TimeUnit.MILLISECONDS);
   }
 
@@ -186,6 +186,14 @@
     return openExchanges > 0 || unwrittenResponses > 0;
   }
 
+  /**
+   * Returns whether the router can stop without cutting a request: none is open or being read, and
+   * no caller is likely to send one at this moment.
+   */
+  public boolean canStop() {
+    return !hasOpenResponses() && clients.stream().noneMatch(ClientConnection::isRequestExpected);
+  }
+
   void responseWriteStarted() {
     unwrittenResponses++;
   }
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/DrainingRouterTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/DrainingRouterTest.java
@@ -95,6 +95,14 @@
     return new String(socket.getInputStream().readAllBytes(), ISO_8859_1);
   }
 
+  private static String readUntil(Socket socket, String end) throws IOException {
+    StringBuilder text = new StringBuilder();
+    while (!text.toString().endsWith(end)) {
+      text.append((char) socket.getInputStream().read());
+    }
+    return text.toString();
+  }
+
   @Example
   void requestThatHasArrivedWhenIdleConnectionsAreClosedGetsResponse() throws Exception {
     fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
@@ -131,4 +139,37 @@
       assertThat(readAll(socket)).startsWith("HTTP/1.1 503 ").contains("\"run\":\"not_run\"");
     }
   }
+
+  @Example
+  void callerThatWasNotToldToLeaveCanSendItsNextRequest() throws Exception {
+    fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    try (Socket caller = fixture.connect()) {
+      fixture.holdClock(true);
+      GatewayFixture.send(caller, REQUEST);
+      assertThat(readUntil(caller, "ok")).startsWith("HTTP/1.1 200 ");
+      fixture.startDraining(1_000, 5_000);
+      fixture.runOnLoop(fixture.gateway::closeIdleClients);
+      Thread.sleep(60);
+      assertThat(fixture.canStop()).isFalse();
+      assertThat(GatewayFixture.sendRaw(caller, REQUEST))
+          .startsWith("HTTP/1.1 200 ")
+          .containsIgnoringCase("connection: close");
+    }
+    fixture.holdClock(false);
+    GatewayFixture.await(() -> fixture.canStop());
+  }
+
+  @Example
+  void routerDoesNotStopWhileTheBodyOfRequestIsBeingSent() throws Exception {
+    fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    try (Socket caller = fixture.connect()) {
+      fixture.startDraining(1_000, 5_000);
+      GatewayFixture.send(caller, REQUEST.replace("Length: 0", "Length: 4") + "ab");
+      fixture.runOnLoop(fixture.gateway::closeIdleClients);
+      Thread.sleep(400);
+      assertThat(fixture.canStop()).isFalse();
+      assertThat(GatewayFixture.sendRaw(caller, "cd")).startsWith("HTTP/1.1 200 ");
+    }
+    GatewayFixture.await(() -> fixture.canStop());
+  }
 }
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.util.concurrent.Futures;
 import com.google.common.util.concurrent.Uninterruptibles;
 import io.netty.channel.Channel;
 import io.netty.channel.EventLoop;
@@ -72,6 +73,8 @@
   private final NettyPeerTransport transport;
   private final SiteClient site;
   private final Channel server;
+  private volatile boolean clockHeld;
+  private volatile long heldAtMillis;
   private int lastRequestId;
   private final Map<String, ScriptedUpstream> upstreams = new LinkedHashMap<>();
 
@@ -86,7 +89,8 @@
    * @param seeds supplies the peer addresses of control daemons
    */
   GatewayFixture(Supplier<List<String>> seeds) throws Exception {
-    MillisClock clock = MillisClock.monotonic();
+    MillisClock running = MillisClock.monotonic();
+    MillisClock clock = () -> clockHeld ? heldAtMillis : (heldAtMillis = running.nowMillis());
     transport =
         new NettyPeerTransport(
             new PeerSettings("r", "127.0.0.1", 0, "test", new byte[16]),
@@ -170,6 +174,15 @@
         });
   }
 
+  /** Stops the router's clock, or lets it run again, so that a test does not depend on its pace. */
+  void holdClock(boolean held) {
+    clockHeld = held;
+  }
+
+  boolean canStop() {
+    return Futures.getUnchecked(loop.submit(gateway::canStop));
+  }
+
   /** Stops the request path and closes the listener, as at the end of a drain. */
   void stop() {
     gateway.stop(server::close);
