--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayServer.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayServer.java
@@ -7,6 +7,7 @@
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.ServerChannelRecvByteBufAllocator;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.HttpResponseEncoder;
 import java.io.IOException;
@@ -19,6 +20,12 @@
   /** Length of the accept queue; callers open many connections at once when a router fails. */
   private static final int BACKLOG = 1_024;
 
+  /**
+   * Connections that one pass of the event loop accepts, so that one pass before the listener is
+   * closed usually empties the accept queue.
+   */
+  private static final int ACCEPTS_PER_PASS = 128;
+
   private GatewayServer() {}
 
   /**
@@ -53,6 +60,9 @@
             .channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_REUSEADDR, true)
             .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR,
+                new ServerChannelRecvByteBufAllocator().maxMessagesPerRead(ACCEPTS_PER_PASS))
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childHandler(childInitializer)
             .bind(address, port)
