Show where prepaid tokens are, and what ended routers held

A refused request could not be traced to its reason: the ledger's log showed only the available tokens, not those that running routers held or that were lost with ended ones. The router's line about a failed search names the reserve, the reservations of requests and the unused tokens.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.function.Consumer;
 
 /**
  * The control group's side of the escrow of prepaid tokens, part of the replicated state. At any
@@ -96,6 +97,24 @@
       boolean closed,
       List<WorkspaceTotals> sums) {}
 
+  /**
+   * Where the tokens of a workspace are. The rest of the total was used, or is reserved by
+   * requests.
+   *
+   * @param held the unused tokens of running incarnations, as they last reported
+   * @param stranded the unused tokens that ended incarnations last reported, less those reclaimed
+   */
+  public record Distribution(long total, long available, long held, long stranded) {
+
+    /** Returns the stranded tokens as a fraction of the total. */
+    public double strandedShare() {
+      return total == 0 ? 0 : (double) stranded / total;
+    }
+  }
+
+  /** The end of an incarnation that held tokens, when another one starts on its host. */
+  public record Closure(String router, String workspace, WorkspaceTotals totals, long reclaimed) {}
+
   private static final class Holding {
     long granted;
     long returned;
@@ -123,9 +142,18 @@
   /** Sum of {@link Holding#held} over the incarnations that are not closed, by workspace. */
   private final Map<String, Long> heldSums = new HashMap<>();
 
+  /** Sum of {@link Holding#held} over the closed incarnations, by workspace. */
+  private final Map<String, Long> strandedSums = new HashMap<>();
+
   private final Map<String, Account> routers = new TreeMap<>();
+  private Consumer<Closure> closureListener = closure -> {};
   private long reclaimed;
 
+  /** Sets the receiver of the ends of incarnations. */
+  public void onClosure(Consumer<Closure> listener) {
+    closureListener = listener;
+  }
+
   /** Replaces the totals. A workspace without a total is unlimited and has no allotments. */
   public void setTotals(Map<String, Long> next) {
     totals.clear();
@@ -247,23 +275,33 @@
    * open.
    */
   private void closeEarlierIncarnations(IncarnationTimes times) {
-    for (Account a : routers.values()) {
-      if (a.closed || !a.times.host().equals(times.host())) {
-        continue;
-      }
-      a.closed = true;
-      a.holdings.forEach((workspace, h) -> heldSums.merge(workspace, -h.held, Long::sum));
-      if (a.times.endedBeforeOpening(times)) {
-        a.holdings.forEach(this::reclaim);
-      }
-    }
+    routers.forEach(
+        (router, a) -> {
+          if (!a.closed && a.times.host().equals(times.host())) {
+            close(router, a, a.times.endedBeforeOpening(times));
+          }
+        });
+  }
+
+  private void close(String router, Account account, boolean reserveUnopened) {
+    account.closed = true;
+    account.holdings.forEach(
+        (workspace, h) -> {
+          heldSums.merge(workspace, -h.held, Long::sum);
+          WorkspaceTotals before = totalsOf(workspace, h);
+          long reclaimedNow = reserveUnopened ? reclaim(workspace, h) : 0;
+          strandedSums.merge(workspace, h.held, Long::sum);
+          closureListener.accept(new Closure(router, workspace, before, reclaimedNow));
+        });
   }
 
-  private void reclaim(String workspace, Holding h) {
+  private long reclaim(String workspace, Holding h) {
     long reserve = Math.max(0, h.reserve());
     h.granted -= reserve;
+    h.held = Math.max(0, h.held - reserve);
     outstanding.merge(workspace, -reserve, Long::sum);
     reclaimed += reserve;
+    return reserve;
   }
 
   /** Returns the number of tokens that no router holds; 0 for a workspace without a total. */
@@ -272,6 +310,19 @@
     return total == null ? 0 : Math.max(0, total - outstanding.getOrDefault(workspace, 0L));
   }
 
+  /** Returns where the tokens of a workspace are. */
+  public Distribution distribution(String workspace) {
+    return new Distribution(
+        totals.getOrDefault(workspace, 0L),
+        available(workspace),
+        heldSums.getOrDefault(workspace, 0L),
+        strandedSums.getOrDefault(workspace, 0L));
+  }
+
+  private static WorkspaceTotals totalsOf(String workspace, Holding h) {
+    return new WorkspaceTotals(workspace, h.granted, h.returned, h.opened, h.openReturned, h.held);
+  }
+
   /** Returns the number of tokens reclaimed from closed incarnations since this process started. */
   public long reclaimed() {
     return reclaimed;
@@ -283,11 +334,7 @@
     routers.forEach(
         (router, a) -> {
           List<WorkspaceTotals> workspaceTotals = new ArrayList<>();
-          a.holdings.forEach(
-              (w, h) ->
-                  workspaceTotals.add(
-                      new WorkspaceTotals(
-                          w, h.granted, h.returned, h.opened, h.openReturned, h.held)));
+          a.holdings.forEach((w, h) -> workspaceTotals.add(totalsOf(w, h)));
           result.add(
               new IncarnationTotals(
                   router, a.lastRequestNumber, a.times, a.closed, workspaceTotals));
@@ -300,6 +347,7 @@
     routers.clear();
     outstanding.clear();
     heldSums.clear();
+    strandedSums.clear();
     for (IncarnationTotals r : stored) {
       Account account = new Account();
       account.lastRequestNumber = r.number();
@@ -314,9 +362,8 @@
         h.held = workspaceTotals.held();
         account.holdings.put(workspaceTotals.workspace(), h);
         outstanding.merge(workspaceTotals.workspace(), h.granted - h.returned, Long::sum);
-        if (!account.closed) {
-          heldSums.merge(workspaceTotals.workspace(), h.held, Long::sum);
-        }
+        Map<String, Long> sums = account.closed ? strandedSums : heldSums;
+        sums.merge(workspaceTotals.workspace(), h.held, Long::sum);
       }
       routers.put(r.router(), account);
     }
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
@@ -2,6 +2,7 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
+import java.util.function.Consumer;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.CrashReport;
 import org.goldcrestfall.core.quarantine.PartQuarantine;
@@ -66,9 +67,14 @@
     return quarantine.reports();
   }
 
-  /** Returns the number of prepaid tokens of a workspace that no router holds. */
-  public long available(String workspace) {
-    return ledger.available(workspace);
+  /** Returns where the prepaid tokens of a workspace are. */
+  public PrepaidLedger.Distribution prepaidTokens(String workspace) {
+    return ledger.distribution(workspace);
+  }
+
+  /** Sets the receiver of the ends of router incarnations that held prepaid tokens. */
+  public void onRouterClosure(Consumer<PrepaidLedger.Closure> listener) {
+    ledger.onClosure(listener);
   }
 
   /**
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
@@ -194,6 +194,27 @@
     assertThat(renew(ledger, "h#1", 2, demand(1_000, 0, 0)).grantedTotal()).isEqualTo(500);
   }
 
+  /** Guards against an account of stranded tokens that misses some or counts reclaimed ones. */
+  @Example
+  void unusedTokensOfEndedRoutersAreCountedAsStranded() {
+    PrepaidLedger ledger = ledgerOf(10_000);
+    List<PrepaidLedger.Closure> closures = new ArrayList<>();
+    ledger.onClosure(closures::add);
+    ledger.renew("h#1", 1, times("h", 0, 1_000, 3_500), List.of(demand(2_000, 0, 500)));
+    assertThat(ledger.distribution(WORKSPACE))
+        .isEqualTo(new PrepaidLedger.Distribution(10_000, 8_000, 2_000, 0));
+    ledger.renew("h#2", 1, times("h", 2_800, 2_900, 6_300), List.of(demand(1_000, 0, 100)));
+    assertThat(ledger.distribution(WORKSPACE))
+        .isEqualTo(new PrepaidLedger.Distribution(10_000, 8_500, 1_000, 500));
+    ledger.renew("h#3", 1, times("h", 99_000, 99_000, 102_500), List.of());
+    assertThat(ledger.distribution(WORKSPACE))
+        .isEqualTo(new PrepaidLedger.Distribution(10_000, 8_500, 0, 1_500));
+    assertThat(closures).extracting(PrepaidLedger.Closure::reclaimed).containsExactly(1_500L, 0L);
+    PrepaidLedger restored = ledgerOf(10_000);
+    restored.restore(ledger.routers());
+    assertThat(restored.distribution(WORKSPACE)).isEqualTo(ledger.distribution(WORKSPACE));
+  }
+
   @Example
   void reserveThatMayHaveBeenOpenedStaysStranded() {
     PrepaidLedger ledger = ledgerOf(10_000);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayMetrics.java
@@ -8,7 +8,9 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.util.Map;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /** The counters and histograms of the request path, in the Prometheus text format. */
 public final class GatewayMetrics {
@@ -61,6 +63,16 @@
         .register(registry);
   }
 
+  /** Registers a gauge with a value for each value of a label, read at each scrape. */
+  public void gauge(String name, String help, String label, Supplier<Map<String, Double>> values) {
+    GaugeWithCallback.builder()
+        .name(PREFIX + name)
+        .help(help)
+        .labelNames(label)
+        .callback(c -> values.get().forEach((l, value) -> c.call(value, l)))
+        .register(registry);
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   public byte[] scrape() {
     ByteArrayOutputStream out = new ByteArrayOutputStream();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -251,11 +251,17 @@
       account.recordFailedSearch(tokens, clock.nowMillis());
     }
     logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
-        "prepaid: workspace %s: %s tokens needed, %s free here, %s in the ledger %s ms ago",
+        "prepaid: workspace %s is %s: %s tokens needed, %s free here, %s in reserve, %s reserved by"
+            + " requests, %s spent; %s available in the ledger and %s unused %s ms ago",
         workspace,
+        outcome,
         tokens,
         account.free(),
+        account.unopened(),
+        account.reserved(),
+        account.spent(),
         account.ledgerAvailable(),
+        account.ledgerUnused(),
         clock.nowMillis() - account.ledgerAnsweredAtMillis());
   }
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
@@ -1,19 +1,20 @@
 package org.goldcrestfall.daemon.site;
 
+import com.google.common.collect.ImmutableMap;
 import com.google.common.flogger.FluentLogger;
-import com.google.common.flogger.LazyArgs;
 import com.google.common.primitives.Longs;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
+import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteState;
 import org.goldcrestfall.daemon.control.StateMachine;
 
 /**
- * The site's replicated state machine. The configuration and the suspect parts may be read from any
- * thread.
+ * The site's replicated state machine. The configuration, the suspect parts and the report of
+ * prepaid tokens may be read from any thread.
  */
 public final class SiteStateMachine implements StateMachine {
 
@@ -25,13 +26,42 @@
   /** Query for the log index of the configuration in force, as 8 bytes in big-endian order. */
   static final byte[] READ_CONFIGURATION_INDEX = new byte[1];
 
-  private static final int LEDGER_LOG_INTERVAL_SECONDS = 2;
+  private static final int LEDGER_REPORT_INTERVAL_MILLIS = 2_000;
 
   private final SiteState state = new SiteState();
+  private final MillisClock clock = MillisClock.hostMonotonic();
+  private long ledgerReportedAtMillis = -LEDGER_REPORT_INTERVAL_MILLIS;
+  private volatile ImmutableMap<String, PrepaidLedger.Distribution> prepaidTokens =
+      ImmutableMap.of();
   private volatile SiteState.StoredConfiguration configuration = state.configuration();
   private volatile QuarantineView quarantine = state.quarantine();
   private volatile Runnable changeListener = () -> {};
 
+  /** Creates the state machine without a configuration. */
+  public SiteStateMachine() {
+    state.onRouterClosure(SiteStateMachine::logClosure);
+  }
+
+  private static void logClosure(PrepaidLedger.Closure closure) {
+    PrepaidLedger.WorkspaceTotals t = closure.totals();
+    logger.atInfo().log(
+        "prepaid: incarnation %s has ended; workspace %s: %s tokens granted, %s returned,"
+            + " %s opened, %s of them returned, %s held unused at its last report, %s reclaimed",
+        closure.router(),
+        t.workspace(),
+        t.grantedTotal(),
+        t.returnedTotal(),
+        t.openedTotal(),
+        t.openReturnedTotal(),
+        t.held(),
+        closure.reclaimed());
+  }
+
+  /** Returns where the prepaid tokens of each workspace were at the last report. */
+  public ImmutableMap<String, PrepaidLedger.Distribution> prepaidTokens() {
+    return prepaidTokens;
+  }
+
   /**
    * Sets the action that runs on the consensus thread when another configuration is in force or the
    * suspect parts have changed.
@@ -66,26 +96,29 @@
           "site: log entry %s cannot be decoded as a command: %s", index, e.getMessage());
     }
     publishChanges();
-    logger.atInfo().atMostEvery(LEDGER_LOG_INTERVAL_SECONDS, TimeUnit.SECONDS).log(
-        "prepaid: %s tokens reclaimed; available/total tokens of each workspace: %s",
-        state.reclaimedTokens(), LazyArgs.lazy(this::describeLedger));
+    reportLedger();
     return SiteCodec.encodeReply(reply);
   }
 
-  private String describeLedger() {
-    StringBuilder out = new StringBuilder();
-    state
-        .configuration()
-        .totals()
-        .forEach(
-            (w, total) ->
-                out.append(w)
-                    .append(' ')
-                    .append(state.available(w))
-                    .append('/')
-                    .append(total)
-                    .append(' '));
-    return out.toString();
+  private void reportLedger() {
+    long now = clock.nowMillis();
+    if (now < ledgerReportedAtMillis + LEDGER_REPORT_INTERVAL_MILLIS) {
+      return;
+    }
+    ledgerReportedAtMillis = now;
+    ImmutableMap.Builder<String, PrepaidLedger.Distribution> tokens = ImmutableMap.builder();
+    StringBuilder description = new StringBuilder();
+    for (String workspace : state.configuration().totals().keySet()) {
+      PrepaidLedger.Distribution d = state.prepaidTokens(workspace);
+      tokens.put(workspace, d);
+      description.append(
+          String.format(
+              " %s %d/%d/%d/%d", workspace, d.available(), d.held(), d.stranded(), d.total()));
+    }
+    prepaidTokens = tokens.buildOrThrow();
+    logger.atInfo().log(
+        "prepaid: %s tokens reclaimed; available/held/stranded/total tokens of each workspace:%s",
+        state.reclaimedTokens(), description);
   }
 
   private void publishChanges() {
