--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -27,7 +27,6 @@
 import org.goldcrestfall.core.gateway.RouteKind;
 import org.goldcrestfall.core.gateway.ServiceSettings;
 import org.goldcrestfall.core.gateway.WorkspaceSettings;
-import org.goldcrestfall.core.prepaid.RequestCharge;
 import org.goldcrestfall.daemon.site.PrepaidTokens;
 
 /**
@@ -79,7 +78,6 @@
   private int permitRefusals;
   private Attempt currentAttempt;
   private int attemptsThatMayHaveRun;
-  private boolean callerLeft;
   private boolean done;
   private final long requestReadAtMillis;
   private long reservationEndedAtMillis = -1;
@@ -513,7 +511,6 @@
     if (currentAttempt != null) {
       currentAttempt.cancel();
     }
-    callerLeft = true;
     finish("caller_gone");
   }
 
@@ -572,21 +569,23 @@
     return route == null ? "unrouted" : route.kind().name().toLowerCase(Locale.ROOT);
   }
 
-  /** Settles the reservation with the tokens that the request has consumed. */
+  /**
+   * Settles the reservation with the tokens used: the prompt and the forwarded output, or none if
+   * the request has not run.
+   */
   private void settleTokens() {
     if (reservedTokens == 0) {
       return;
     }
-    long tokensPerEvent =
-        serviceSettings.flatMap(ServiceSettings::engine).map(e -> e.tokensPerEvent()).orElse(1);
-    RequestCharge charge =
-        new RequestCharge(
-            requestSize,
-            attemptsThatMayHaveRun,
-            callerResponse.firstByteAtMillis() >= 0,
-            callerLeft,
-            callerResponse.events() * tokensPerEvent);
-    gateway.prepaid().settle(workspace.name(), reservedTokens, charge.tokens());
+    long usedTokens = 0;
+    if (mayHaveRun()) {
+      long tokensPerEvent =
+          serviceSettings.flatMap(ServiceSettings::engine).map(e -> e.tokensPerEvent()).orElse(1);
+      long outputTokens = callerResponse.events() * tokensPerEvent;
+      usedTokens =
+          requestSize.promptTokens() + Math.min(outputTokens, requestSize.maxOutputTokens());
+    }
+    gateway.prepaid().settle(workspace.name(), reservedTokens, usedTokens);
     reservedTokens = 0;
   }
 }
