Close idle connections only after another look at their bytes

Their loop was late: between accepting a connection and closing it as unused for 200 ms it had not read. Time alone does not show that a connection was read since. A connection is now closed by a scheduled task that finds it as it was, and the loop reads its sockets before that task runs.

DrainingRouterTest, SlowReaderTest, GatewayTest and RefusalTest pass. Not yet run at full size.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -250,27 +250,40 @@
   }
 
   /**
-   * Closes the connection if no request is open, queued or being read, once the last response has
-   * been written and the caller has not used the connection for some time.
+   * Closes the connection if no request is open, queued or being read, and the caller does not use
+   * it for some time. The event loop reads its sockets before it looks at the connection again, so
+   * that a request that has arrived is seen however late the loop is.
    */
   void closeIfIdle() {
-    if (exchange != null || readStartedAtMillis >= 0 || !pendingMessages.isEmpty() || closing) {
+    if (!isIdle()) {
       return;
     }
-    long quietMillis = gateway.now() - lastActivityAtMillis;
-    if (quietMillis < NEXT_REQUEST_MILLIS) {
-      long leftMillis = NEXT_REQUEST_MILLIS - quietMillis;
-      gateway.loop().schedule(this::closeIfIdle, leftMillis, TimeUnit.MILLISECONDS);
-      return;
-    }
-    closing = true;
-    if (isWriting()) {
-      lastWrite.addListener(ChannelFutureListener.CLOSE);
-    } else {
-      channel.close();
+    long usedAtMillis = lastActivityAtMillis;
+    long leftMillis = usedAtMillis + NEXT_REQUEST_MILLIS - gateway.now();
+    gateway
+        .loop()
+        .schedule(
+            () -> closeIfUnused(usedAtMillis), Math.max(1, leftMillis), TimeUnit.MILLISECONDS);
+  }
+
+  private void closeIfUnused(long usedAtMillis) {
+    boolean unused = lastActivityAtMillis == usedAtMillis;
+    if (!unused || gateway.now() - usedAtMillis < NEXT_REQUEST_MILLIS) {
+      closeIfIdle();
+    } else if (isIdle()) {
+      closing = true;
+      if (isWriting()) {
+        lastWrite.addListener(ChannelFutureListener.CLOSE);
+      } else {
+        channel.close();
+      }
     }
   }
 
+  private boolean isIdle() {
+    return exchange == null && readStartedAtMillis < 0 && pendingMessages.isEmpty() && !closing;
+  }
+
   /** Returns whether a request is being read, or is likely to arrive soon. */
   boolean isRequestExpected() {
     return !closing
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -135,14 +135,8 @@
 
   /** Closes connections without a request, and the others when their request has ended. */
   public void closeIdleClients() {
-    // The first pass accepts connections, the second one reads them.
-    afterReading(
-        () ->
-            afterReading(
-                () -> {
-                  closingIdle = true;
-                  Set.copyOf(clients).forEach(ClientConnection::closeIfIdle);
-                }));
+    closingIdle = true;
+    Set.copyOf(clients).forEach(ClientConnection::closeIfIdle);
   }
 
   /**
