Do not reuse an upstream connection after a read that filled its buffer

Since connections are read once in a turn of the event loop, bytes that a faulty upstream sends after a response stay unread if the response ends where the read buffer ends. The connection was then reused, and the next request, of any caller, was answered 502 for bytes that were not meant for it. The new test has a response of 2,048 bytes, the size of the first read, followed by bytes that are no response; the second request failed with "malformed or unexpected response head".

A read that does not fill its buffer has taken all bytes that had arrived, so only connections whose last read was full are closed.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaderNames;
@@ -252,7 +253,11 @@
     Receiver completed = receiver;
     receiver = null;
     // An upstream may respond before it has read the whole request, and read the rest later.
-    if (reusable && !decoder.hasUnreadBytes() && requestWritten.isSuccess() && upstream.isReady()) {
+    if (reusable
+        && !decoder.hasUnreadBytes()
+        && !mayHaveUnreadBytes()
+        && requestWritten.isSuccess()
+        && upstream.isReady()) {
       idleSinceMillis = connections.now();
       reused = true;
       channel.config().setAutoRead(true);
@@ -263,6 +268,12 @@
     completed.onEnd();
   }
 
+  /** Returns whether the last read filled its buffer, so that more bytes may have arrived. */
+  private boolean mayHaveUnreadBytes() {
+    RecvByteBufAllocator.Handle reads = channel.unsafe().recvBufAllocHandle();
+    return reads.lastBytesRead() == reads.attemptedBytesRead();
+  }
+
   private void fail(String reason) {
     if (responseComplete && receiver != null) {
       // The response is complete; the bytes after it only prevent reuse of the connection.
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -217,6 +217,31 @@
   }
 
   /** An upstream may respond early and read the rest of the body later on the same connection. */
+  /** The first read of a connection takes 2 KiB, so that the bytes after them are not seen yet. */
+  @Example
+  void bytesAfterResponseThatFillsTheReadBufferDoNotReachTheNextRequest() throws Exception {
+    int headLength = ScriptedUpstream.formatResponse("1", 200, SIGNED, "b".repeat(1_000)).length();
+    String content = "b".repeat(1_000 + 2_048 - headLength);
+    ScriptedUpstream u =
+        fixture.addUpstream(
+            "u1",
+            c -> {
+              String id = c.header("X-Id");
+              String rest = id.equals("1") ? "x y z\r\n\r\n" : "";
+              c.write(ScriptedUpstream.formatResponse(id, 200, SIGNED, content) + rest);
+            });
+    String request =
+        "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Id: %s\r\nAuthorization: Token k\r\n"
+            + "Connection: %s\r\nContent-Length: 0\r\n\r\n";
+    try (Socket socket = fixture.connect()) {
+      String responses =
+          GatewayFixture.sendRaw(
+              socket, request.formatted("1", "keep-alive") + request.formatted("2", "close"));
+      assertThat(responses.split("HTTP/1.1 200 ", -1)).hasSize(3);
+    }
+    assertThat(u.calls).hasSize(2);
+  }
+
   @Example
   void earlyResponseIsForwardedAndTheRequestBodyIsStillSentCompletely() throws Exception {
     ScriptedUpstream u =
