Read all that has arrived before a stopping router closes connections

Gateway.afterReading put a task off by 10 ms, on a machine without processor a single pass of the event loop. A pass accepts 16 connections and, since reads are bounded, reads at most 16 KiB of each. So a router that stopped reset the other new connections, and closed connections whose request was longer than that. The periodic check for timeouts closed connections without any delay: a new connection that was accepted before the check and not read yet was reset once idle connections were being closed.

Evidence: with passes of 30 ms, a request of 100 KB and requests on 80 new connections got no response; a new connection before a check got none either.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/ClientConnection.java
@@ -77,6 +77,7 @@
     channel = c.channel();
     lastActivityAtMillis = gateway.now();
     gateway.clientConnected(this);
+    gateway.onArrival();
   }
 
   Channel channel() {
@@ -100,6 +101,11 @@
     }
   }
 
+  @Override
+  public void channelReadComplete(ChannelHandlerContext c) {
+    gateway.onArrival();
+  }
+
   private void handle(Object message) {
     try {
       lastActivityAtMillis = gateway.now();
@@ -339,11 +345,20 @@
     }
   }
 
+  private void closeAfterLastWrite() {
+    closing = true;
+    if (isWriting()) {
+      lastWrite.addListener(ChannelFutureListener.CLOSE);
+    } else {
+      channel.close();
+    }
+  }
+
   private boolean isIdle() {
     return exchange == null && readStartedAtMillis < 0 && pendingMessages.isEmpty() && !closing;
   }
 
-  /** Returns whether a request is being read, or is likely to arrive soon. */
+  /** Returns whether a request is queued or being read, or is likely to arrive soon. */
   boolean isRequestExpected() {
     return !closing
         && (readStartedAtMillis >= 0
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -30,11 +30,17 @@
 public final class Gateway implements SiteListener {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
-  private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
+  static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
 
-  /** Delay of a task that the event loop runs in its next pass, after it has read its sockets. */
+  /** Delay of a task that the event loop runs in a later pass, after it has read its sockets. */
   private static final long READING_MILLIS = 10;
 
+  /**
+   * Number of times that a task is put off because connections or bytes have arrived. In one pass
+   * the event loop reads at most 16 KiB of each connection.
+   */
+  private static final int MAX_READING_DELAYS = 8;
+
   private final GatewaySettings settings;
   private final GatewayHeaderNames headerNames;
   private final EventLoop loop;
@@ -59,6 +65,7 @@
   private DrainSchedule drainSchedule;
   private boolean closingIdle;
   private boolean stopped;
+  private long arrivals;
 
   /** Creates the request path; call {@link #attach} before the first request arrives. */
   public Gateway(
@@ -170,10 +177,30 @@
   /**
    * Runs a task after the event loop has accepted and read what has arrived from callers. Without
    * this, a task that was queued while the loop was busy or had no processor would close
-   * connections with a request that has not been read.
+   * connections with a request that has not been read. While callers go on sending, the task is put
+   * off a limited number of times.
    */
   public void afterReading(Runnable task) {
-    loop.schedule(task, READING_MILLIS, TimeUnit.MILLISECONDS);
+    afterReading(task, MAX_READING_DELAYS);
+  }
+
+  private void afterReading(Runnable task, int delaysLeft) {
+    long before = arrivals;
+    loop.schedule(
+        () -> {
+          if (arrivals == before || delaysLeft == 0) {
+            task.run();
+          } else {
+            afterReading(task, delaysLeft - 1);
+          }
+        },
+        READING_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
+  /** Records that a caller's connection was accepted or read. */
+  void onArrival() {
+    arrivals++;
   }
 
   /** Returns the number of requests that have no complete response yet. */
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/DrainingRouterTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/DrainingRouterTest.java
@@ -6,7 +6,9 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CopyOnWriteArrayList;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
@@ -21,6 +23,11 @@
       "POST /unsafe/a HTTP/1.1\r\nHost: h\r\nX-Id: i\r\nAuthorization: Token k\r\n"
           + "Content-Length: 0\r\n\r\n";
 
+  private static final String LONG_REQUEST =
+      REQUEST.replace("Length: 0", "Length: 100000") + "b".repeat(100_000);
+
+  private static final long PASS_MILLIS = 30;
+
   private GatewayFixture fixture;
 
   @BeforeTry
@@ -140,6 +147,60 @@
     }
   }
 
+  /** A pass of the event loop reads at most 16 KiB of a connection. */
+  @Example
+  void longRequestThatHasArrivedWhenTheRouterStopsIsRefusedAsNotRun() throws Exception {
+    fixture.startDraining(1_000, 5_000);
+    fixture.slowDown(PASS_MILLIS);
+    try (Socket caller = fixture.connect()) {
+      fixture.runBeforeReading(() -> GatewayFixture.send(caller, LONG_REQUEST), fixture::stop);
+      assertThat(readAll(caller)).startsWith("HTTP/1.1 503 ").contains("\"run\":\"not_run\"");
+    }
+  }
+
+  /** A pass of the event loop accepts a limited number of connections and reads each one once. */
+  @Example
+  void requestsOnManyNewConnectionsWhenTheRouterStopsAreRefusedAsNotRun() throws Exception {
+    fixture.startDraining(1_000, 5_000);
+    fixture.slowDown(PASS_MILLIS);
+    List<Socket> callers = new CopyOnWriteArrayList<>();
+    fixture.runBeforeReading(
+        () -> {
+          for (int i = 0; i < 80; i++) {
+            callers.add(fixture.connect());
+            GatewayFixture.send(callers.get(i), REQUEST);
+          }
+          return null;
+        },
+        fixture::stop);
+    for (Socket caller : callers) {
+      assertThat(readAll(caller)).startsWith("HTTP/1.1 503 ").contains("\"run\":\"not_run\"");
+      caller.close();
+    }
+  }
+
+  /**
+   * The periodic check for timeouts may run between the accept of a connection and its first read.
+   */
+  @Example
+  void requestOnNewConnectionAfterIdleConnectionsWereClosedGetsResponse() throws Exception {
+    fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    fixture.startDraining(1_000, 5_000);
+    fixture.runOnLoop(fixture.gateway::closeIdleClients);
+    CompletableFuture<Socket> caller = new CompletableFuture<>();
+    fixture.runBeforeReading(
+        () -> {
+          caller.complete(fixture.connect());
+          GatewayFixture.send(caller.get(), REQUEST);
+          Thread.sleep(Gateway.TIMEOUT_CHECK_INTERVAL_MILLIS + 100);
+          return null;
+        },
+        () -> {});
+    try (Socket socket = caller.get()) {
+      assertThat(readAll(socket)).startsWith("HTTP/1.1 200 ").endsWith("ok");
+    }
+  }
+
   @Example
   void callerThatWasNotToldToLeaveCanSendItsNextRequest() throws Exception {
     fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -234,6 +234,15 @@
     arrived.countDown();
   }
 
+  /** Lets each pass of the event loop take some time, as on a machine with little processor. */
+  void slowDown(long passMillis) {
+    loop.scheduleWithFixedDelay(
+        () -> Uninterruptibles.sleepUninterruptibly(passMillis, TimeUnit.MILLISECONDS),
+        0,
+        1,
+        TimeUnit.MILLISECONDS);
+  }
+
   Socket connect() throws IOException {
     InetSocketAddress a = (InetSocketAddress) server.localAddress();
     Socket socket = new Socket(a.getAddress(), a.getPort());
