--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
@@ -30,6 +30,9 @@
    */
   private static final int MAX_HELD_DIVISOR = 2;
 
+  /** Share of a total that stays with the ledger; it is granted only to waiting requests. */
+  private static final double LEDGER_SHARE = 0.06;
+
   /** A router is told to return tokens if it holds this multiple of what it should. */
   private static final double EXCESS_RATIO = 1.3;
 
@@ -225,19 +228,11 @@
     return available(workspace) + heldSums.getOrDefault(workspace, 0L);
   }
 
-  /**
-   * Returns the unused tokens that all routers together may hold. The fewer of a total are unused,
-   * the smaller is the fraction of them: what routers keep for a partition is then used up soon
-   * anyway, and what they lose is refused to callers for as long as the total lasts.
-   */
+  /** Returns the unused tokens that all routers together may hold. */
   private long maxHeldSum(String workspace) {
-    long total = totals.getOrDefault(workspace, 0L);
-    if (total == 0) {
-      return 0;
-    }
     long unused = unused(workspace);
-    double heldFraction = Math.min(1.0 / MAX_HELD_DIVISOR, (double) unused / total);
-    return Math.max(0, (long) (unused * heldFraction));
+    long kept = (long) (LEDGER_SHARE * totals.getOrDefault(workspace, 0L));
+    return Math.max(0, Math.min(unused / MAX_HELD_DIVISOR, unused - kept));
   }
 
   /** Returns the router's share of what all routers may hold, in proportion to what they hold. */
