Schedule periodic tasks that start at once through PeriodicTasks too

GroupJoiner and SiteControl combined the wrapper and the executor's call themselves, each in the same four lines. The wrapper is private now. Delays and log lines are unchanged.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/PeriodicTasks.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/PeriodicTasks.java
@@ -16,12 +16,17 @@
    * are caught and logged, because an executor cancels a periodic task that throws.
    */
   public static void schedule(ScheduledExecutorService executor, long delayMillis, Runnable task) {
+    schedule(executor, delayMillis, delayMillis, task);
+  }
+
+  /** Runs a task repeatedly, as above, with another delay before the first run. */
+  public static void schedule(
+      ScheduledExecutorService executor, long firstDelayMillis, long delayMillis, Runnable task) {
     executor.scheduleWithFixedDelay(
-        loggingExceptions(task), delayMillis, delayMillis, TimeUnit.MILLISECONDS);
+        loggingExceptions(task), firstDelayMillis, delayMillis, TimeUnit.MILLISECONDS);
   }
 
-  /** Returns a task that logs the exceptions of another task instead of throwing them. */
-  public static Runnable loggingExceptions(Runnable task) {
+  private static Runnable loggingExceptions(Runnable task) {
     return () -> {
       try {
         task.run();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/GroupJoiner.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/GroupJoiner.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
-import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.consensus.Member;
 import org.goldcrestfall.daemon.PeriodicTasks;
 import org.goldcrestfall.wire.PeerTransport;
@@ -54,11 +53,7 @@
   }
 
   void start() {
-    executor.scheduleWithFixedDelay(
-        PeriodicTasks.loggingExceptions(this::joinIfNeeded),
-        0,
-        ATTEMPT_INTERVAL_MILLIS,
-        TimeUnit.MILLISECONDS);
+    PeriodicTasks.schedule(executor, 0, ATTEMPT_INTERVAL_MILLIS, this::joinIfNeeded);
   }
 
   private void joinIfNeeded() {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
@@ -115,11 +115,7 @@
         KindCase.UPSTREAM_NOTICE,
         (sender, body) -> runOnLoop(() -> handleNotice(body.getUpstreamNotice())));
     loop.execute(this::catchUp);
-    loop.scheduleWithFixedDelay(
-        PeriodicTasks.loggingExceptions(this::tick),
-        0,
-        NOTICE_INTERVAL_MILLIS,
-        TimeUnit.MILLISECONDS);
+    PeriodicTasks.schedule(loop, 0, NOTICE_INTERVAL_MILLIS, this::tick);
   }
 
   private CompletableFuture<Body> runOnLoop(
