Remove repeated work around drains and addresses

UpstreamAddress parsed each host twice; the parser rejects what the check before it rejected. Behaviour and assertions are unchanged.

--- a/core/src/main/java/org/goldcrestfall/core/registry/UpstreamAddress.java
+++ b/core/src/main/java/org/goldcrestfall/core/registry/UpstreamAddress.java
@@ -18,10 +18,9 @@
     try {
       HostAndPort parsed = HostAndPort.fromString(address);
       return parsed.getPort() > 0
-          && InetAddresses.isInetAddress(parsed.getHost())
           && InetAddresses.forString(parsed.getHost()).getAddress().length == IPV4_BYTES;
     } catch (IllegalArgumentException | IllegalStateException e) {
-      // The port is missing, not a number or out of range.
+      // The host is not an IP address, or the port is missing, not a number or out of range.
       return false;
     }
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -132,7 +132,7 @@
 
   /** Returns whether requests can be served. */
   public boolean isReady() {
-    return drainSchedule == null && configuration != null && !upstreams.isEmpty();
+    return !isDraining() && configuration != null && !upstreams.isEmpty();
   }
 
   /**
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/DrainingRouterTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/DrainingRouterTest.java
@@ -43,11 +43,11 @@
     fixture.close();
   }
 
-  private CompletableFuture<String> callLater(String path, String headers) {
+  private CompletableFuture<String> callLater(String path) {
     return CompletableFuture.supplyAsync(
         () -> {
           try {
-            return fixture.call("POST", path, headers, "");
+            return fixture.call("POST", path, "", "");
           } catch (IOException e) {
             return "no response: " + e.getMessage();
           }
@@ -79,7 +79,7 @@
   @Example
   void requestThatIsOpenWhenTheRouterStopsGetsResponse() throws Exception {
     ScriptedUpstream silent = fixture.addUpstream("u1", c -> {});
-    final CompletableFuture<String> sent = callLater("/long/a", "");
+    final CompletableFuture<String> sent = callLater("/long/a");
     GatewayFixture.await(() -> !silent.calls.isEmpty());
     fixture.startDraining(1_000, 5_000);
     fixture.runOnLoop(fixture::stop);
