Request the tokens of all requests that wait when a renewal is sent

Cause: a request asked for the tokens that it lacked when it came in. Its renewal followed the one in flight, and by then other requests had taken what was free. Change: the account counts the tokens of the requests that wait, and a renewal asks for all of them when it is sent. Requests that come while one is in flight share the next one. What a router holds and opens is decided in core, by HoldingPolicy. Evidence: HoldingPolicyTest.demandCoversAllRequestsThatWait fails when only the first request is counted. Values that decide how much is held and opened are unchanged.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
@@ -33,6 +33,7 @@
   private long free;
   private long reserved;
   private long spent;
+  private long waiting;
   private double demandTokensPerMillis;
   private long demandUpdatedAtMillis;
   private long firstDemandAtMillis = -1;
@@ -111,6 +112,21 @@
     free += reservedTokens - taken;
   }
 
+  /** Counts the tokens of a request that waits until they are free here. */
+  public void addWaiting(long tokens) {
+    waiting += tokens;
+  }
+
+  /** Ends the wait of a request that was counted by {@link #addWaiting}. */
+  public void removeWaiting(long tokens) {
+    waiting -= tokens;
+  }
+
+  /** Returns the tokens of all requests that wait. */
+  public long waiting() {
+    return waiting;
+  }
+
   /** Counts the worst case of a request as demand, whether it can be served or not. */
   public void recordDemand(long tokens, long nowMillis) {
     if (firstDemandAtMillis < 0) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -14,6 +14,7 @@
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
 import org.goldcrestfall.core.gateway.WorkspaceSettings;
+import org.goldcrestfall.core.prepaid.HoldingPolicy;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.PrepaidAccount;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
@@ -38,19 +39,6 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /**
-   * Tokens are held for the demand expected in this time, which is about as long as the control
-   * daemons may stay unreachable. A longer time would lose more tokens when a router is lost.
-   */
-  private static final long HOLD_HORIZON_MILLIS = 10_000;
-
-  /**
-   * Tokens are open for the demand expected in this time, which lasts nearly until the router opens
-   * its reserve. More are opened through the ledger when a request needs them. Open tokens are lost
-   * when the router is killed.
-   */
-  private static final long OPEN_HORIZON_MILLIS = 3_000;
-
   /**
    * A router that has received no answer from the ledger for this time opens its reserve. A killed
    * process restarts within this time, so its restart proves that the reserve was not used.
@@ -60,15 +48,6 @@
   /** Interval at which a renewal is sent even if it contains no demands. */
   private static final long HEARTBEAT_INTERVAL_MILLIS = 450;
 
-  /** The fraction of a workspace's total that all routers together hold if none has demand. */
-  private static final double IDLE_FRACTION = 0.01;
-
-  /** A router that holds more than this multiple of its target returns the excess. */
-  private static final double RETURN_ABOVE = 1.3;
-
-  /** A router that holds less than this fraction of its target requests more tokens. */
-  private static final double RENEW_BELOW = 0.75;
-
   private static final long RENEW_INTERVAL_MILLIS = 500;
   private static final long RENEW_TIMEOUT_MILLIS = 900;
 
@@ -114,6 +93,10 @@
   private boolean ledgerTimedOut;
   private long lastRenewalNumber;
   private CompletableFuture<Void> renewal = CompletableFuture.completedFuture(null);
+
+  /** The renewal that follows the one in flight, or null if no request waits for it. */
+  private CompletableFuture<Void> nextRenewal;
+
   private boolean renewalScheduled;
 
   /**
@@ -171,8 +154,8 @@
     account.recordDemand(tokens, clock.nowMillis());
     checkLedgerTimeout();
     if (account.reserve(tokens)) {
-      long openTarget = target(workspace, account) * OPEN_HORIZON_MILLIS / HOLD_HORIZON_MILLIS;
-      if (account.free() < openTarget / 2) {
+      if (HoldingPolicy.isShortOfOpenTokens(
+          account, total(workspace), siteClient.routerCount(), clock.nowMillis())) {
         scheduleRenewal();
       }
       return CompletableFuture.completedFuture(Outcome.RESERVED);
@@ -206,12 +189,8 @@
     return accounts.computeIfAbsent(workspace, w -> new PrepaidAccount());
   }
 
-  private long target(String workspace, PrepaidAccount account) {
-    long total = totals.getOrDefault(workspace, 0L);
-    long idleTarget = (long) (total * IDLE_FRACTION / siteClient.routerCount());
-    long now = clock.nowMillis();
-    long wanted = Math.max(idleTarget, account.expectedDemand(HOLD_HORIZON_MILLIS, now));
-    return Math.min(wanted, account.maxHeld(now));
+  private long total(String workspace) {
+    return totals.getOrDefault(workspace, 0L);
   }
 
   /** Asks the ledger, and also other routers if the ledger is slow or has too few tokens. */
@@ -219,6 +198,7 @@
     if (account.hasSearchFailedRecently(tokens, clock.nowMillis())) {
       return CompletableFuture.completedFuture(Outcome.EXHAUSTED);
     }
+    account.addWaiting(tokens);
     return new TokenSearch(
             siteClient,
             transport,
@@ -226,7 +206,7 @@
             workspace,
             account,
             tokens,
-            () -> commitRenewal(workspace, tokens - account.free()),
+            this::renewAfterPendingRenewal,
             () -> failureOutcome(account, tokens))
         .start()
         .whenComplete((outcome, e) -> onSearchEnded(workspace, account, tokens, outcome));
@@ -244,6 +224,7 @@
 
   private void onSearchEnded(
       String workspace, PrepaidAccount account, long tokens, Outcome outcome) {
+    account.removeWaiting(tokens);
     if (outcome == Outcome.RESERVED) {
       return;
     }
@@ -291,10 +272,29 @@
     renewalScheduled = false;
     checkLedgerTimeout();
     if (renewal.isDone()) {
-      commitRenewal("", 0);
+      commitRenewal();
     }
   }
 
+  /**
+   * Sends a renewal that counts all requests that wait now. The renewal in flight does not, so
+   * another one follows it, which requests that come in the meantime share.
+   */
+  private CompletableFuture<Void> renewAfterPendingRenewal() {
+    if (renewal.isDone()) {
+      return commitRenewal();
+    }
+    if (nextRenewal == null) {
+      nextRenewal =
+          renewal.thenCompose(
+              v -> {
+                nextRenewal = null;
+                return renewAfterPendingRenewal();
+              });
+    }
+    return nextRenewal;
+  }
+
   /** Opens the reserves if the ledger has not answered for {@link #LEDGER_TIMEOUT_MILLIS}. */
   private void checkLedgerTimeout() {
     boolean timedOut = steadyClock.nowMillis() >= reserveOpensAtMillis;
@@ -310,53 +310,24 @@
     }
   }
 
-  /**
-   * Returns the demands to send to the ledger.
-   *
-   * @param waitingWorkspace the workspace of a request that waits for tokens, or an empty string
-   * @param needed the tokens that this request lacks
-   */
-  private List<PrepaidLedger.Demand> demands(String waitingWorkspace, long needed) {
+  /** Returns the demands to send to the ledger. */
+  private List<PrepaidLedger.Demand> demands() {
     List<PrepaidLedger.Demand> demands = new ArrayList<>();
-    for (String workspace : totals.keySet()) {
-      PrepaidAccount account = account(workspace);
-      long target = target(workspace, account);
-      long openTarget = Math.max(1, target * OPEN_HORIZON_MILLIS / HOLD_HORIZON_MILLIS);
-      if (!ledgerTimedOut && account.free() > RETURN_ABOVE * openTarget) {
-        // After the ledger was unreachable, all tokens are open. The excess is returned to the
-        // ledger, which grants it again as reserve where it is needed.
-        account.returnOpenTokens(account.free() - openTarget);
-      }
-      long held = account.free() + account.unopened();
-      if (workspace.equals(waitingWorkspace)) {
-        long missing = Math.max(0, needed - account.unopened());
-        long wanted = Math.max(missing, target - held);
-        long toOpen = Math.max(needed, openTarget - account.free());
-        demands.add(account.demandFor(workspace, wanted, missing, toOpen));
-        continue;
-      }
-      if (held > RETURN_ABOVE * target) {
-        account.returnTokens(held - target);
-        demands.add(account.demandFor(workspace, 0, 0, 0));
-        continue;
-      }
-      long wanted = held < RENEW_BELOW * target ? target - held : 0;
-      long toOpen = account.free() < RENEW_BELOW * openTarget ? openTarget - account.free() : 0;
-      if (wanted > 0 || toOpen > 0 && account.unopened() > 0) {
-        demands.add(account.demandFor(workspace, wanted, 0, toOpen));
-      }
-    }
+    totals.forEach(
+        (workspace, total) ->
+            HoldingPolicy.nextDemand(
+                    workspace,
+                    account(workspace),
+                    total,
+                    siteClient.routerCount(),
+                    ledgerTimedOut,
+                    clock.nowMillis())
+                .ifPresent(demands::add));
     return demands;
   }
 
-  private CompletableFuture<Void> commitRenewal(String waitingWorkspace, long needed) {
-    if (!renewal.isDone()) {
-      // The renewal in flight does not include this request, so another one follows it.
-      return waitingWorkspace.isEmpty()
-          ? renewal
-          : renewal.thenCompose(v -> commitRenewal(waitingWorkspace, needed));
-    }
-    List<PrepaidLedger.Demand> demands = demands(waitingWorkspace, needed);
+  private CompletableFuture<Void> commitRenewal() {
+    List<PrepaidLedger.Demand> demands = demands();
     long now = steadyClock.nowMillis();
     if (demands.isEmpty() && now - renewalSentAtMillis < HEARTBEAT_INTERVAL_MILLIS) {
       return renewal;
@@ -395,7 +366,7 @@
       for (PrepaidLedger.Allotment a : decoded.allotments()) {
         PrepaidAccount account = account(a.workspace());
         account.applyAllotment(a, clock.nowMillis());
-        if (account.free() + account.unopened() > RETURN_ABOVE * a.maxHeld()) {
+        if (HoldingPolicy.holdsTooMany(account, clock.nowMillis())) {
           scheduleRenewal();
         }
       }
