Do not open tokens that the router has returned from its reserve

A budget could be exceeded. Cause: the ledger opens a part of a reserve, its answer is lost or late, and meanwhile the router returns the same reserve. The answer, or any later one, then opened the returned tokens again. Change: an answer opens at most what was granted and not returned from the reserve. Evidence: PrepaidAccountTest.tokensReturnedFromTheReserveAreNotOpenedByAnEarlierAnswer had 1,000 - 600 = 400 tokens to open and opened 800 before the change. The ledger keeps the higher total, so that it never counts these tokens as a reserve that it could take back.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
@@ -50,9 +50,12 @@
    */
   public void applyAllotment(PrepaidLedger.Allotment allotment, long nowMillis) {
     grantedTotal = Math.max(grantedTotal, allotment.grantedTotal());
-    if (allotment.openedTotal() > openedTotal) {
-      free += allotment.openedTotal() - openedTotal;
-      openedTotal = allotment.openedTotal();
+    // The ledger may have opened tokens that were returned before its answer arrived.
+    long reserveReturned = returnedTotal - openReturnedTotal;
+    long opened = Math.min(allotment.openedTotal(), grantedTotal - reserveReturned);
+    if (opened > openedTotal) {
+      free += opened - openedTotal;
+      openedTotal = opened;
     }
     if (allotment.available() > ledgerAvailable) {
       shortSinceMillis = -1;
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidAccountTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidAccountTest.java
@@ -48,4 +48,21 @@
     assertThat(account.isExhausted(5_000, 2_100)).isFalse();
     assertThat(account.isExhausted(5_000, 4_200)).isTrue();
   }
+
+  /** Guards against spending tokens twice: once returned from the reserve, and once opened. */
+  @Example
+  void tokensReturnedFromTheReserveAreNotOpenedByAnEarlierAnswer() {
+    PrepaidAccount account = new PrepaidAccount();
+    account.applyAllotment(
+        new PrepaidLedger.Allotment("w", 1_000, 0, 9_000, 10_000, Long.MAX_VALUE), 0);
+    PrepaidLedger.Allotment delayed =
+        new PrepaidLedger.Allotment("w", 1_000, 800, 9_000, 10_000, Long.MAX_VALUE);
+    account.returnTokens(600);
+    account.applyAllotment(delayed, 100);
+    assertThat(account.free()).isEqualTo(400);
+    assertThat(account.unopened()).isZero();
+    account.applyAllotment(
+        new PrepaidLedger.Allotment("w", 1_300, 1_100, 8_700, 10_000, Long.MAX_VALUE), 200);
+    assertThat(account.free()).isEqualTo(700);
+  }
 }
