Open reserves by a schedule, and take back what it had not opened

Cause: a router opened its whole reserve 3.5 s after its last renewal, so a successor that starts a moment later proved nothing. Change: without the ledger, a reserve opens evenly over 6 s from that time on. The renewal carries the time, so the start of the successor bounds what can have been opened, and the ledger takes back the rest. A router tells the ledger at its next renewal what it opened by itself. Retry-After follows the schedule. A router of an earlier release sends no time, which means at once, as before. Tests: reserveThatMayHaveBeenOpenedStaysStranded stated that a successor 100 ms late gives nothing back; partOfReserveThatMayHaveBeenOpenedStaysStranded has the exact amounts, and reserveThatOpensAtOnceStaysStrandedAsAWhole keeps the old ones. The property compares each incarnation with its grants: the sum over all routers hid tokens given out twice behind lost ones. It fails when 100 ms too much is given back, when openings are not reported, and when returned tokens are opened again.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/HoldingPolicy.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/HoldingPolicy.java
@@ -90,7 +90,8 @@
     }
     long wanted = held < RENEW_BELOW * target ? target - held : 0;
     long toOpen = account.free() < RENEW_BELOW * openTarget ? openTarget - account.free() : 0;
-    if (wanted > 0 || toOpen > 0 && account.unopened() > 0) {
+    boolean opens = toOpen > 0 && account.unopened() > 0;
+    if (wanted > 0 || opens || account.hasUnreportedOpenings()) {
       return Optional.of(account.demandFor(workspace, wanted, 0, toOpen));
     }
     return Optional.empty();
--- a/core/src/main/java/org/goldcrestfall/core/prepaid/IncarnationTimes.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/IncarnationTimes.java
@@ -9,6 +9,8 @@
  * @param sentAtMillis the time at which this report was sent
  * @param reserveOpensAtMillis the time before which the incarnation does not use its reserve, the
  *     granted tokens that the ledger has not opened
+ * @param reserveOpeningMillis the time over which the incarnation then opens its reserve evenly; 0
+ *     if it opens all of it at once
  * @param clockOffsetMillis wall clock minus monotonic clock; nearly constant until the host reboots
  */
 public record IncarnationTimes(
@@ -16,6 +18,7 @@
     long startedAtMillis,
     long sentAtMillis,
     long reserveOpensAtMillis,
+    long reserveOpeningMillis,
     long clockOffsetMillis) {
 
   /**
@@ -25,15 +28,22 @@
   private static final long MAX_OFFSET_CHANGE_MILLIS = 1_000;
 
   /**
-   * Returns whether a later process on the host proves that this incarnation ended before {@link
-   * #reserveOpensAtMillis}: both use the same run of the monotonic clock, and the later one started
-   * before then.
+   * Returns how many tokens of a reserve this incarnation cannot have opened, as a later process on
+   * its host proves: if both use the same run of the monotonic clock, this incarnation had ended
+   * when the later one started.
    */
-  boolean endedBeforeOpening(IncarnationTimes later) {
+  long provablyUnopened(long reserve, IncarnationTimes later) {
     boolean sameClock =
         later.startedAtMillis >= sentAtMillis
             && Math.abs(later.clockOffsetMillis - clockOffsetMillis) <= MAX_OFFSET_CHANGE_MILLIS;
-    return sameClock && later.startedAtMillis < reserveOpensAtMillis;
+    if (!sameClock || reserve <= 0) {
+      return 0;
+    }
+    if (later.startedAtMillis < reserveOpensAtMillis) {
+      return reserve;
+    }
+    long closedMillis = reserveOpensAtMillis + reserveOpeningMillis - later.startedAtMillis;
+    return closedMillis <= 0 ? 0 : (long) ((double) reserve * closedMillis / reserveOpeningMillis);
   }
 
   /** Returns these times updated by a later report of the same incarnation. */
@@ -43,6 +53,7 @@
         startedAtMillis,
         Math.max(sentAtMillis, newer.sentAtMillis),
         Math.max(reserveOpensAtMillis, newer.reserveOpensAtMillis),
+        Math.min(reserveOpeningMillis, newer.reserveOpeningMillis),
         newer.clockOffsetMillis);
   }
 }
--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
@@ -29,6 +29,7 @@
   private long grantedTotal;
   private long returnedTotal;
   private long openedTotal;
+  private long ledgerOpenedTotal;
   private long openReturnedTotal;
   private long free;
   private long reserved;
@@ -50,6 +51,7 @@
    */
   public void applyAllotment(PrepaidLedger.Allotment allotment, long nowMillis) {
     grantedTotal = Math.max(grantedTotal, allotment.grantedTotal());
+    ledgerOpenedTotal = Math.max(ledgerOpenedTotal, allotment.openedTotal());
     // The ledger may have opened tokens that were returned before its answer arrived.
     long reserveReturned = returnedTotal - openReturnedTotal;
     long opened = Math.min(allotment.openedTotal(), grantedTotal - reserveReturned);
@@ -71,11 +73,20 @@
     return grantedTotal - returnedTotal - (openedTotal - openReturnedTotal);
   }
 
-  /** Opens the whole reserve without asking the ledger. */
-  public void openReserve() {
-    long reserve = Math.max(0, unopened());
-    openedTotal += reserve;
-    free += reserve;
+  /**
+   * Opens a part of the reserve without asking the ledger.
+   *
+   * @param fraction the part of the tokens that are not open yet, from 0 to 1
+   */
+  public void openReserve(double fraction) {
+    long tokens = (long) (Math.max(0, unopened()) * fraction);
+    openedTotal += tokens;
+    free += tokens;
+  }
+
+  /** Returns whether tokens were opened that the ledger has not confirmed as open. */
+  public boolean hasUnreportedOpenings() {
+    return openedTotal > ledgerOpenedTotal;
   }
 
   /**
--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
@@ -13,8 +13,9 @@
  *
  * <p>A router holds granted tokens as a reserve for the time in which it cannot reach the control
  * group, and opens a few at a time through the ledger. Only open tokens can be used by requests.
- * When a killed router restarts and the monotonic clock of its host shows that it ended before it
- * could have opened its reserve without the ledger, the reserve is reclaimed.
+ * Without the ledger, a router opens its reserve by a {@link ReserveSchedule}. When a killed router
+ * restarts, the monotonic clock of its host shows how long it can have lived, and the part of the
+ * reserve that the schedule had not opened by then is reclaimed.
  */
 public final class PrepaidLedger {
 
@@ -271,37 +272,36 @@
   }
 
   /**
-   * Closes the earlier incarnations on a host, and reclaims the reserves that they provably did not
-   * open.
+   * Closes the earlier incarnations on a host, and reclaims the part of their reserves that they
+   * provably did not open.
    */
   private void closeEarlierIncarnations(IncarnationTimes times) {
     routers.forEach(
         (router, a) -> {
           if (!a.closed && a.times.host().equals(times.host())) {
-            close(router, a, a.times.endedBeforeOpening(times));
+            close(router, a, times);
           }
         });
   }
 
-  private void close(String router, Account account, boolean reserveUnopened) {
+  private void close(String router, Account account, IncarnationTimes later) {
     account.closed = true;
     account.holdings.forEach(
         (workspace, h) -> {
           heldSums.merge(workspace, -h.held, Long::sum);
           WorkspaceTotals before = totalsOf(workspace, h);
-          long reclaimedNow = reserveUnopened ? reclaim(workspace, h) : 0;
+          long reclaimedNow = account.times.provablyUnopened(h.reserve(), later);
+          reclaim(workspace, h, reclaimedNow);
           strandedSums.merge(workspace, h.held, Long::sum);
           closureListener.accept(new Closure(router, workspace, before, reclaimedNow));
         });
   }
 
-  private long reclaim(String workspace, Holding h) {
-    long reserve = Math.max(0, h.reserve());
-    h.granted -= reserve;
-    h.held = Math.max(0, h.held - reserve);
-    outstanding.merge(workspace, -reserve, Long::sum);
-    reclaimed += reserve;
-    return reserve;
+  private void reclaim(String workspace, Holding h, long tokens) {
+    h.granted -= tokens;
+    h.held = Math.max(0, h.held - tokens);
+    outstanding.merge(workspace, -tokens, Long::sum);
+    reclaimed += tokens;
   }
 
   /** Returns the number of tokens that no router holds; 0 for a workspace without a total. */
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
@@ -16,7 +16,7 @@
 
   private static final String WORKSPACE = "w";
 
-  private static final long OPEN_RESERVE_AFTER_MILLIS = 3_500;
+  private static final long OPEN_RESERVE_AFTER_MILLIS = ReserveSchedule.DELAY_MILLIS;
 
   /** A router incarnation; its times are milliseconds of the monotonic clock of its host. */
   private static final class Router {
@@ -25,18 +25,29 @@
     final long startedAtMillis;
     final PrepaidAccount account = new PrepaidAccount();
     final List<Long> reserved = new ArrayList<>();
-    long reserveOpensAtMillis;
+    final ReserveSchedule schedule;
     long lastRenewalNumber;
+    long borrowed;
+    long lent;
+    boolean killed;
 
     Router(String host, int run, long now) {
       this.host = host;
       name = host + "#" + run;
       startedAtMillis = now;
-      reserveOpensAtMillis = now + OPEN_RESERVE_AFTER_MILLIS;
+      schedule = new ReserveSchedule(now);
+    }
+
+    /** Returns the granted tokens that this incarnation has used or may still use. */
+    long heldOrUsed() {
+      long reserve = killed ? 0 : Math.max(0, account.unopened());
+      long open = account.spent() + account.reserved() + account.free();
+      return open + reserve + lent - borrowed;
     }
 
     IncarnationTimes times(long now, long offset) {
-      return new IncarnationTimes(host, startedAtMillis, now, reserveOpensAtMillis, offset);
+      return new IncarnationTimes(
+          host, startedAtMillis, now, schedule.opensAtMillis(), schedule.openingMillis(), offset);
     }
   }
 
@@ -71,6 +82,7 @@
       clocks.put("h" + i, new HostClock());
       routers.add(new Router("h" + i, 0, 0));
     }
+    List<Router> killed = new ArrayList<>();
     long spentByKilled = 0;
     long time = 0;
     List<Runnable> delayedAnswers = new ArrayList<>();
@@ -80,9 +92,7 @@
       final HostClock clock = clocks.get(r.host);
       final long now = clock.now(time);
       for (Router each : routers) {
-        if (clocks.get(each.host).now(time) >= each.reserveOpensAtMillis) {
-          each.account.openReserve();
-        }
+        each.account.openReserve(each.schedule.advance(clocks.get(each.host).now(time)));
       }
       switch (random.nextInt(8)) {
         case 0, 1 -> {
@@ -95,17 +105,19 @@
               r.account.demandFor(
                   WORKSPACE, random.nextInt(2_000), random.nextInt(2_000), random.nextInt(1_000));
           IncarnationTimes times = r.times(now, time - now);
-          var answer = ledger.renew(r.name, ++r.lastRenewalNumber, times, List.of(demand)).get(0);
+          // A renewal without news of the workspace has no demand for it.
+          boolean heartbeat = !r.account.hasUnreportedOpenings() && random.nextInt(3) == 0;
+          List<PrepaidLedger.Demand> demands = heartbeat ? List.of() : List.of(demand);
+          var answers = ledger.renew(r.name, ++r.lastRenewalNumber, times, demands);
           // After a lost answer, the command is sent again and can be in the log twice.
           if (random.nextInt(4) == 0) {
-            answer = ledger.renew(r.name, r.lastRenewalNumber, times, List.of(demand)).get(0);
+            answers = ledger.renew(r.name, r.lastRenewalNumber, times, demands);
           }
-          var delivered = answer;
+          var delivered = answers;
           Runnable deliver =
               () -> {
-                r.reserveOpensAtMillis =
-                    Math.max(r.reserveOpensAtMillis, now + OPEN_RESERVE_AFTER_MILLIS);
-                r.account.applyAllotment(delivered, 0);
+                r.schedule.recordRenewal(now);
+                delivered.forEach(a -> r.account.applyAllotment(a, 0));
               };
           if (random.nextInt(4) != 0) {
             deliver.run();
@@ -120,8 +132,10 @@
         case 3 -> {
           Router lender = routers.get(random.nextInt(routers.size()));
           long lent = lender.account.lend(random.nextInt(1_000));
+          lender.lent += lent;
           if (random.nextInt(3) != 0) {
             r.account.addBorrowed(lent);
+            r.borrowed += lent;
           }
         }
         case 4, 5 -> {
@@ -138,6 +152,8 @@
         }
         default -> {
           if (random.nextInt(6) == 0) {
+            r.killed = true;
+            killed.add(r);
             spentByKilled += r.account.spent() + r.account.reserved() + r.account.free();
             if (random.nextBoolean()) {
               clock.initialMillis = random.nextInt(2_000_000);
@@ -159,12 +175,38 @@
         consumed += each.account.spent() + each.account.reserved() + each.account.free();
       }
       assertThat(consumed).isLessThanOrEqualTo(total);
+      assertGrantsCoverUse(ledger, routers);
+      assertGrantsCoverUse(ledger, killed);
+    }
+  }
+
+  /**
+   * Checks that the ledger counts at least what each incarnation has used or may use as granted. In
+   * the sum over all routers, a token that is given out twice can be hidden by lost ones.
+   */
+  private static void assertGrantsCoverUse(PrepaidLedger ledger, List<Router> routers) {
+    Map<String, Long> outstanding = new HashMap<>();
+    for (PrepaidLedger.IncarnationTotals t : ledger.routers()) {
+      t.sums()
+          .forEach(
+              s -> outstanding.merge(t.router(), s.grantedTotal() - s.returnedTotal(), Long::sum));
+    }
+    for (Router r : routers) {
+      assertThat(r.heldOrUsed())
+          .as("tokens that %s has used or may use", r.name)
+          .isLessThanOrEqualTo(outstanding.getOrDefault(r.name, 0L));
     }
   }
 
   private static IncarnationTimes times(
       String host, long startedAtMillis, long sentAtMillis, long reserveOpensAtMillis) {
-    return new IncarnationTimes(host, startedAtMillis, sentAtMillis, reserveOpensAtMillis, 0);
+    return new IncarnationTimes(
+        host,
+        startedAtMillis,
+        sentAtMillis,
+        reserveOpensAtMillis,
+        ReserveSchedule.OPENING_MILLIS,
+        0);
   }
 
   private static PrepaidLedger.Demand demand(long wanted, long needed, long toOpen) {
@@ -215,12 +257,34 @@
     assertThat(restored.distribution(WORKSPACE)).isEqualTo(ledger.distribution(WORKSPACE));
   }
 
-  @Example
-  void reserveThatMayHaveBeenOpenedStaysStranded() {
+  private static long availableAfterRestart(long openingMillis, long restartedAtMillis) {
     PrepaidLedger ledger = ledgerOf(10_000);
-    ledger.renew("h#1", 1, times("h", 0, 1_000, 3_500), List.of(demand(2_000, 0, 500)));
-    ledger.renew("h#2", 1, times("h", 3_600, 3_700, 7_100), List.of());
-    assertThat(ledger.available(WORKSPACE)).isEqualTo(8_000);
+    IncarnationTimes first = new IncarnationTimes("h", 0, 1_000, 3_500, openingMillis, 0);
+    ledger.renew("h#1", 1, first, List.of(demand(2_000, 0, 500)));
+    long opensAtMillis = restartedAtMillis + 3_500;
+    ledger.renew(
+        "h#2",
+        1,
+        new IncarnationTimes(
+            "h", restartedAtMillis, restartedAtMillis + 100, opensAtMillis, openingMillis, 0),
+        List.of());
+    return ledger.available(WORKSPACE);
+  }
+
+  @Example
+  void partOfReserveThatMayHaveBeenOpenedStaysStranded() {
+    assertThat(availableAfterRestart(6_000, 3_499)).isEqualTo(9_500);
+    assertThat(availableAfterRestart(6_000, 3_600)).isEqualTo(9_475);
+    assertThat(availableAfterRestart(6_000, 6_500)).isEqualTo(8_750);
+    assertThat(availableAfterRestart(6_000, 9_500)).isEqualTo(8_000);
+    assertThat(availableAfterRestart(6_000, 99_000)).isEqualTo(8_000);
+  }
+
+  @Example
+  void reserveThatOpensAtOnceStaysStrandedAsAWhole() {
+    assertThat(availableAfterRestart(0, 3_499)).isEqualTo(9_500);
+    assertThat(availableAfterRestart(0, 3_500)).isEqualTo(8_000);
+    assertThat(availableAfterRestart(0, 3_600)).isEqualTo(8_000);
   }
 
   @Example
@@ -231,7 +295,7 @@
     assertThat(ledger.available(WORKSPACE)).isEqualTo(8_000);
     PrepaidLedger other = ledgerOf(10_000);
     other.renew("h#1", 1, times("h", 0, 1_000, 3_500), List.of(demand(2_000, 0, 500)));
-    other.renew("h#2", 1, new IncarnationTimes("h", 2_800, 2_900, 6_300, 90_000), List.of());
+    other.renew("h#2", 1, new IncarnationTimes("h", 2_800, 2_900, 6_300, 6_000, 90_000), List.of());
     assertThat(other.available(WORKSPACE)).isEqualTo(8_000);
   }
 
--- a/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
@@ -16,7 +16,7 @@
  */
 final class SiteStateTest {
 
-  private static final IncarnationTimes TIMES = new IncarnationTimes("r", 0, 0, 0, 0);
+  private static final IncarnationTimes TIMES = new IncarnationTimes("r", 0, 0, 0, 0, 0);
 
   private static SiteCommand.PutConfiguration put(long version, long total) {
     return new SiteCommand.PutConfiguration(
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -18,6 +18,7 @@
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.PrepaidAccount;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
+import org.goldcrestfall.core.prepaid.ReserveSchedule;
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteState;
 import org.goldcrestfall.daemon.PeriodicTasks;
@@ -32,19 +33,13 @@
  * The prepaid tokens that this router holds. The router holds enough tokens to serve its expected
  * demand while it cannot reach the control daemons. It borrows tokens from other routers when it
  * has too few, and returns those that it does not need to the ledger. Requests use only open
- * tokens; the others are the reserve, which is opened in parts through the ledger, or as a whole by
- * the router itself if the ledger does not answer. Confined to one event loop.
+ * tokens; the others are the reserve, which is opened in parts through the ledger, or by a schedule
+ * if the ledger does not answer. Confined to one event loop.
  */
 public final class PrepaidTokens {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /**
-   * A router that has received no answer from the ledger for this time opens its reserve. A killed
-   * process restarts within this time, so its restart proves that the reserve was not used.
-   */
-  private static final long LEDGER_TIMEOUT_MILLIS = 3_500;
-
   /** Interval at which a renewal is sent even if it contains no demands. */
   private static final long HEARTBEAT_INTERVAL_MILLIS = 450;
 
@@ -88,7 +83,7 @@
   private final MillisClock steadyClock = MillisClock.hostMonotonic();
   private final MillisClock wallClock = MillisClock.utc();
   private final long startedAtMillis = steadyClock.nowMillis();
-  private long reserveOpensAtMillis = startedAtMillis + LEDGER_TIMEOUT_MILLIS;
+  private final ReserveSchedule reserveSchedule = new ReserveSchedule(startedAtMillis);
   private long renewalSentAtMillis;
   private boolean ledgerTimedOut;
   private long lastRenewalNumber;
@@ -164,16 +159,18 @@
   }
 
   /**
-   * Returns the time after which a request that found too few tokens should be sent again: when the
-   * reserve opens or other routers have returned theirs, if these cover the request, otherwise
-   * after a longer time.
+   * Returns the time after which a request that found too few tokens should be sent again: when
+   * enough of the reserve is open or other routers have returned theirs, if these cover the
+   * request, otherwise after a longer time.
    */
   public long retryAfterMillis(String workspace, long tokens) {
     PrepaidAccount account = account(workspace);
     long delayMillis = UNAVAILABLE_RETRY_AFTER_MILLIS;
-    if (!ledgerTimedOut && account.free() + account.unopened() >= tokens) {
-      delayMillis =
-          Math.max(MIN_RETRY_AFTER_MILLIS, reserveOpensAtMillis - steadyClock.nowMillis());
+    if (account.free() + account.unopened() >= tokens) {
+      long untilOpenMillis =
+          reserveSchedule.millisUntilOpen(
+              tokens - account.free(), account.unopened(), steadyClock.nowMillis());
+      delayMillis = Math.max(MIN_RETRY_AFTER_MILLIS, untilOpenMillis);
     } else if (isLedgerAnswerFresh(account) && account.ledgerUnused() >= tokens) {
       delayMillis = RETURN_DELAY_MILLIS;
     }
@@ -295,9 +292,10 @@
     return nextRenewal;
   }
 
-  /** Opens the reserves if the ledger has not answered for {@link #LEDGER_TIMEOUT_MILLIS}. */
+  /** Opens a part of the reserves if the ledger has not answered for a while. */
   private void checkLedgerTimeout() {
-    boolean timedOut = steadyClock.nowMillis() >= reserveOpensAtMillis;
+    long now = steadyClock.nowMillis();
+    boolean timedOut = reserveSchedule.isOpening(now);
     if (timedOut != ledgerTimedOut) {
       ledgerTimedOut = timedOut;
       logger.atInfo().log(
@@ -305,8 +303,9 @@
               ? "prepaid: the ledger cannot be reached; opening the reserves"
               : "prepaid: the ledger can be reached again");
     }
-    if (ledgerTimedOut) {
-      accounts.values().forEach(PrepaidAccount::openReserve);
+    double fraction = reserveSchedule.advance(now);
+    if (fraction > 0) {
+      accounts.values().forEach(a -> a.openReserve(fraction));
     }
   }
 
@@ -339,8 +338,7 @@
             .handleAsync(
                 (reply, failure) -> {
                   if (failure == null) {
-                    reserveOpensAtMillis =
-                        Math.max(reserveOpensAtMillis, now + LEDGER_TIMEOUT_MILLIS);
+                    reserveSchedule.recordRenewal(now);
                     applyReply(reply);
                   } else {
                     logger.atInfo().atMostEvery(2, TimeUnit.SECONDS).log(
@@ -355,7 +353,12 @@
   private byte[] command(List<PrepaidLedger.Demand> demands, long now) {
     IncarnationTimes times =
         new IncarnationTimes(
-            host, startedAtMillis, now, reserveOpensAtMillis, wallClock.nowMillis() - now);
+            host,
+            startedAtMillis,
+            now,
+            reserveSchedule.opensAtMillis(),
+            reserveSchedule.openingMillis(),
+            wallClock.nowMillis() - now);
     return SiteCodec.encodeCommand(
         new SiteCommand.RenewAllotments(router, ++lastRenewalNumber, times, demands));
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -279,6 +279,7 @@
         .setStartedAt(times.startedAtMillis())
         .setSentAt(times.sentAtMillis())
         .setOpensAt(times.reserveOpensAtMillis())
+        .setOpeningMillis(times.reserveOpeningMillis())
         .setClockOffset(times.clockOffsetMillis())
         .build();
   }
@@ -289,6 +290,7 @@
         life.getStartedAt(),
         life.getSentAt(),
         life.getOpensAt(),
+        life.getOpeningMillis(),
         life.getClockOffset());
   }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/OddMessageTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/OddMessageTest.java
@@ -50,7 +50,7 @@
           new SiteCommand.RenewAllotments(
               text(r),
               number(r),
-              new IncarnationTimes(text(r), number(r), number(r), number(r), number(r)),
+              new IncarnationTimes(text(r), number(r), number(r), number(r), number(r), number(r)),
               List.of(demand(r), demand(r)));
       default ->
           new SiteCommand.ReportCrashes(
