--- a/core/src/main/java/org/goldcrestfall/core/prepaid/HoldingPolicy.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/HoldingPolicy.java
@@ -18,7 +18,7 @@
    * Tokens are open for the use expected in this time. More are opened through the ledger when a
    * request needs them. Open tokens are lost when the router is killed.
    */
-  private static final long OPEN_HORIZON_MILLIS = 2_000;
+  private static final long OPEN_HORIZON_MILLIS = 3_000;
 
   /** The fraction of a workspace's total that all routers together hold if none has demand. */
   private static final double IDLE_FRACTION = 0.01;
