Keep the thread that writes the log running after errors

What operators of similar systems saw: disks were full one after another, and long after the last had room again changes were refused or not answered, while all processes ran. Cause that can lead to this here: two of them leave one member behind that runs and never writes again, so that three such members stop the group. An Error, such as no direct buffer for a write, ended the storage thread without a log line. A fault with an empty message was taken for no fault, so the member was told that its disk failed and never that it worked again. Change: the thread retries after errors too, and keeps in a flag whether writes fail. Tests: ControlFaultTest.writesGoOnAfterMemoryRanOut and writesGoOnAfterFaultWithoutMessage failed before: no answer within 20 s of the only fault. Not found to be a cause: full disks as such.

--- a/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusRulesTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusRulesTest.java
@@ -92,9 +92,8 @@
           now += TIMING.electionMinMillis();
         }
         case 1 -> {
-          Event synced = host.sync();
-          if (synced != null) {
-            newEffects.addAll(host.consensus.apply(synced, now));
+          for (Event event : host.sync()) {
+            newEffects.addAll(host.consensus.apply(event, now));
           }
         }
         default -> {
--- a/core/src/test/java/org/goldcrestfall/core/consensus/FakeGroup.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/FakeGroup.java
@@ -153,12 +153,12 @@
 
   void sync(FakeHost host) {
     if (host.isLive() && !host.frozen) {
-      handle(host, host.sync());
+      host.sync().forEach(event -> handle(host, event));
     }
   }
 
   void compact(FakeHost host) {
-    if (host.isLive() && !host.frozen && host.appliedIndex > 0) {
+    if (host.isLive() && !host.frozen && !host.diskFull && host.appliedIndex > 0) {
       Snapshot snapshot = host.capture();
       sync(host);
       if (snapshot.lastTerm() > 0) {
--- a/core/src/test/java/org/goldcrestfall/core/consensus/FakeHost.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/FakeHost.java
@@ -33,6 +33,13 @@
   String id;
   Consensus consensus;
   boolean frozen;
+
+  /** Whether the disk refuses writes. */
+  boolean diskFull;
+
+  /** Whether the consensus core has been told that the disk refuses writes. */
+  private boolean reportedFull;
+
   long appliedIndex;
   private int memberNumber = 1;
   private HardState hardState = HardState.INITIAL;
@@ -80,6 +87,7 @@
     unsyncedWrites.clear();
     heldReplies.clear();
     consensus = null;
+    reportedFull = false;
   }
 
   void loseDisk() {
@@ -90,8 +98,19 @@
     entries.clear();
   }
 
-  /** Writes all unsynced data to disk; returns the event to report, or null. */
-  Event sync() {
+  /** Writes all unsynced data to disk, unless it is full; returns the events to report. */
+  List<Event> sync() {
+    List<Event> events = new ArrayList<>();
+    if (unsyncedWrites.isEmpty()) {
+      return events;
+    }
+    if (diskFull != reportedFull) {
+      reportedFull = diskFull;
+      events.add(new Event.DiskChanged(!diskFull));
+    }
+    if (diskFull) {
+      return events;
+    }
     Event event = null;
     while (!unsyncedWrites.isEmpty()) {
       Object next = unsyncedWrites.poll();
@@ -100,7 +119,10 @@
         event = new Event.Persisted(p.sequence());
       }
     }
-    return event;
+    if (event != null) {
+      events.add(event);
+    }
+    return events;
   }
 
   /** Returns whether an entry is on disk, either in the log or as part of a snapshot. */
--- a/core/src/test/java/org/goldcrestfall/core/consensus/OpenGroupPropertyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/OpenGroupPropertyTest.java
@@ -92,4 +92,26 @@
     }
     awaitRecovery(group);
   }
+
+  /**
+   * Guards against changes that are refused or never answered after the disks of all hosts were
+   * full one after another, although every process has run all the time.
+   */
+  @Property(tries = 40, seed = "7501", shrinking = ShrinkingMode.OFF)
+  void groupAcceptsCommandsAfterAllDisksWereFullInTurn(@ForAll long seed) {
+    FakeGroup group = openGroup(seed);
+    awaitAllVoters(group);
+    for (int i = 0; i < 8; i++) {
+      boolean leaderNext = group.random.nextInt(3) == 0 && group.leader() != null;
+      FakeHost full = leaderNext ? group.leader() : group.anyHost();
+      full.diskFull = true;
+      group.runWithMessageFaults(1_500 + group.random.nextInt(1_500));
+      full.diskFull = false;
+      group.runWithMessageFaults(group.random.nextInt(600));
+      if (group.random.nextInt(3) == 0) {
+        group.compact(group.anyHost());
+      }
+    }
+    awaitRecovery(group);
+  }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/StorageThread.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/StorageThread.java
@@ -35,6 +35,7 @@
   private final BlockingQueue<Task> tasks = new LinkedBlockingQueue<>();
   private final Thread thread;
   private volatile boolean closed;
+  private volatile boolean failing;
   private volatile String fault = "";
 
   StorageThread(DataFolder folder, Consumer<Event> events) {
@@ -53,7 +54,7 @@
     tasks.add(new Compact(snapshot));
   }
 
-  /** Returns the message of the current write failure, or an empty string if writes succeed. */
+  /** Returns the description of the current write failure, or an empty string if writes succeed. */
   String fault() {
     return fault;
   }
@@ -98,17 +99,20 @@
     while (!closed) {
       try {
         operation.run();
-        if (!fault.isEmpty()) {
+        if (failing) {
+          failing = false;
           fault = "";
           logger.atInfo().log("consensus: writes to the data folder succeed again");
           events.accept(new Event.DiskChanged(true));
         }
         return;
-      } catch (IOException | RuntimeException e) {
-        if (fault.isEmpty()) {
+      } catch (IOException | RuntimeException | Error e) {
+        // Without this thread, the member would run on and never acknowledge anything again.
+        if (!failing) {
+          failing = true;
           logger.atSevere().withCause(e).log(
               "consensus: cannot write to the data folder; retrying, nothing is acknowledged");
-          fault = String.valueOf(e.getMessage());
+          fault = e.toString();
           events.accept(new Event.DiskChanged(false));
         }
         Thread.sleep(RETRY_DELAY_MILLIS);
@@ -124,7 +128,7 @@
   @Override
   public void close() {
     tasks.add(new Stop());
-    closed = !fault.isEmpty();
+    closed = failing;
     try {
       thread.join(RETRY_DELAY_MILLIS * 10);
       closed = true;
--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/ControlFaultTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/ControlFaultTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.catchThrowable;
 
+import java.io.IOException;
 import java.io.RandomAccessFile;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -108,6 +109,28 @@
     assertThat(hosts.replica("h0").status().isReady()).isTrue();
   }
 
+  private void checkWritesGoOnAfter(Throwable failure) throws Exception {
+    startOnFakeDisks(1);
+    ControlClient client = hosts.client();
+    FakeHosts.submit(client, "before");
+    disks.get("h0").failNextWrite(failure);
+    FakeHosts.submit(client, "after");
+    FakeHosts.await(() -> hosts.replica("h0").status().isReady());
+    assertThat(FakeHosts.read(client)).isEqualTo("before,after");
+  }
+
+  /** Guards against a member that runs, but never writes again after an error. */
+  @Example
+  void writesGoOnAfterMemoryRanOut() throws Exception {
+    checkWritesGoOnAfter(new OutOfMemoryError("Cannot reserve direct buffer memory"));
+  }
+
+  /** Guards against a member that stays read-only after a fault without a description. */
+  @Example
+  void writesGoOnAfterFaultWithoutMessage() throws Exception {
+    checkWritesGoOnAfter(new IOException(""));
+  }
+
   /** Guards against a group that stops committing because the leader's disk is full. */
   @Example
   void leaderWithFullDiskIsReplaced() throws Exception {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
@@ -60,7 +60,12 @@
    * hosts know only their addresses at first.
    */
   static FakeHosts open(Path folder, int count, int founders) {
-    return new FakeHosts(folder, count, 1_000, founders);
+    return open(folder, count, founders, 1_000);
+  }
+
+  /** Creates the hosts of an open group that take a snapshot after each {@code snapshotEntries}. */
+  static FakeHosts open(Path folder, int count, int founders, int snapshotEntries) {
+    return new FakeHosts(folder, count, snapshotEntries, founders);
   }
 
   private ControlSettings settings(String host, boolean firstStart) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/storage/FakeDisk.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/storage/FakeDisk.java
@@ -27,6 +27,8 @@
   private final TreeMap<String, Content> files = new TreeMap<>();
   private TreeMap<String, Content> durableFiles = new TreeMap<>();
   private long capacityBytes = Long.MAX_VALUE;
+  private boolean refusesWrites;
+  private Throwable nextWriteFailure;
   private int syncsToFail;
   private int syncCount;
 
@@ -35,6 +37,33 @@
     capacityBytes = bytes;
   }
 
+  /** Makes the disk refuse all writes and new files, as if it were full. */
+  public synchronized void setRefusesWrites(boolean refuses) {
+    refusesWrites = refuses;
+  }
+
+  private void checkNotFull() throws IOException {
+    if (refusesWrites) {
+      throw new IOException("No space left on device");
+    }
+  }
+
+  /** Makes the next write fail with an {@link IOException} or an {@link Error}. */
+  public synchronized void failNextWrite(Throwable failure) {
+    nextWriteFailure = failure;
+  }
+
+  private void throwNextWriteFailure() throws IOException {
+    Throwable failure = nextWriteFailure;
+    nextWriteFailure = null;
+    if (failure instanceof IOException e) {
+      throw e;
+    }
+    if (failure instanceof Error e) {
+      throw e;
+    }
+  }
+
   /** Makes the next {@code count} file syncs fail without making any byte durable. */
   public synchronized void failNextSyncs(int count) {
     syncsToFail = count;
@@ -84,7 +113,10 @@
   }
 
   @Override
-  public synchronized DiskFile open(String name) {
+  public synchronized DiskFile open(String name) throws IOException {
+    if (!files.containsKey(name)) {
+      checkNotFull();
+    }
     return new OpenFile(files.computeIfAbsent(name, n -> new Content()));
   }
 
@@ -134,6 +166,8 @@
     @Override
     public void write(long offset, ByteBuffer bytes) throws IOException {
       synchronized (FakeDisk.this) {
+        checkNotFull();
+        throwNextWriteFailure();
         int end = (int) offset + bytes.remaining();
         int freeBytes = (int) Math.min(bytes.remaining(), Math.max(0, capacityBytes - usedBytes()));
         boolean full = end > content.written.length && freeBytes < bytes.remaining();
