Bound the life of routers that lost power by the clock of the leader

Cause: after a loss of power the monotonic clock of a host begins anew and proves nothing, so all that its router held was written off. Change: the leader adds its process and its clocks to each renewal that it proposes. A router reports the last reading with the time since, and the first renewal of its successor shows the leader's time until then, which bounds what the schedule of the reserve can have opened. Readings of another process prove nothing, nor do those between which wall clock and monotonic clock differ by more than 250 ms, as after a suspension. Tests: clockOfTheLeaderBoundsTheLifeOfRouterThatLostPower (no tokens came back before), and clocksOfTheLeaderThatCannotBeComparedProveNothing. The property now has leaders that change and are suspended; it fails if a suspended leader's clock is accepted.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/IncarnationTimes.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/IncarnationTimes.java
@@ -12,6 +12,7 @@
  * @param reserveOpeningMillis the time over which the incarnation then opens its reserve evenly; 0
  *     if it opens all of it at once
  * @param clockOffsetMillis wall clock minus monotonic clock; nearly constant until the host reboots
+ * @param leaderSentAt a reading that the leader's clocks had passed when this report was sent
  */
 public record IncarnationTimes(
     String host,
@@ -19,7 +20,8 @@
     long sentAtMillis,
     long reserveOpensAtMillis,
     long reserveOpeningMillis,
-    long clockOffsetMillis) {
+    long clockOffsetMillis,
+    LeaderTime leaderSentAt) {
 
   /**
    * Largest difference between the clock offsets of two incarnations that still use the same run of
@@ -28,22 +30,40 @@
   private static final long MAX_OFFSET_CHANGE_MILLIS = 1_000;
 
   /**
-   * Returns how many tokens of a reserve this incarnation cannot have opened, as a later process on
-   * its host proves: if both use the same run of the monotonic clock, this incarnation had ended
-   * when the later one started.
+   * Returns how many tokens of a reserve this incarnation cannot have opened, given the first
+   * renewal of a later process on its host, before which this incarnation had ended.
+   *
+   * @param proposedAt the leader's clocks when it proposed that renewal
    */
-  long provablyUnopened(long reserve, IncarnationTimes later) {
+  long provablyUnopened(long reserve, IncarnationTimes later, LeaderTime proposedAt) {
+    long openingMillis =
+        Math.min(openingMillisByHostClock(later), openingMillisByLeaderClock(proposedAt));
+    if (reserve <= 0 || openingMillis >= reserveOpeningMillis && openingMillis >= 0) {
+      return 0;
+    }
+    return openingMillis < 0
+        ? reserve
+        : (long) ((double) reserve * (reserveOpeningMillis - openingMillis) / reserveOpeningMillis);
+  }
+
+  /**
+   * Returns an upper bound of the time for which the reserve was being opened until the later
+   * process started: negative if it was not, {@link LeaderTime#UNKNOWN} if the monotonic clock of
+   * the host has been reset since.
+   */
+  private long openingMillisByHostClock(IncarnationTimes later) {
     boolean sameClock =
         later.startedAtMillis >= sentAtMillis
             && Math.abs(later.clockOffsetMillis - clockOffsetMillis) <= MAX_OFFSET_CHANGE_MILLIS;
-    if (!sameClock || reserve <= 0) {
-      return 0;
-    }
-    if (later.startedAtMillis < reserveOpensAtMillis) {
-      return reserve;
-    }
-    long closedMillis = reserveOpensAtMillis + reserveOpeningMillis - later.startedAtMillis;
-    return closedMillis <= 0 ? 0 : (long) ((double) reserve * closedMillis / reserveOpeningMillis);
+    return sameClock ? later.startedAtMillis - reserveOpensAtMillis : LeaderTime.UNKNOWN;
+  }
+
+  /** Returns the same bound by the clock of a leader, which outlives a power loss of the host. */
+  private long openingMillisByLeaderClock(LeaderTime proposedAt) {
+    long livedMillis = leaderSentAt.millisUntil(proposedAt);
+    return livedMillis == LeaderTime.UNKNOWN
+        ? LeaderTime.UNKNOWN
+        : livedMillis - (reserveOpensAtMillis - sentAtMillis);
   }
 
   /** Returns these times updated by a later report of the same incarnation. */
@@ -54,6 +74,7 @@
         Math.max(sentAtMillis, newer.sentAtMillis),
         Math.max(reserveOpensAtMillis, newer.reserveOpensAtMillis),
         Math.min(reserveOpeningMillis, newer.reserveOpeningMillis),
-        newer.clockOffsetMillis);
+        newer.clockOffsetMillis,
+        newer.leaderSentAt);
   }
 }
--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
@@ -13,9 +13,10 @@
  *
  * <p>A router holds granted tokens as a reserve for the time in which it cannot reach the control
  * group, and opens a few at a time through the ledger. Only open tokens can be used by requests.
- * Without the ledger, a router opens its reserve by a {@link ReserveSchedule}. When a killed router
- * restarts, the monotonic clock of its host shows how long it can have lived, and the part of the
- * reserve that the schedule had not opened by then is reclaimed.
+ * Without the ledger, a router opens its reserve by a {@link ReserveSchedule}. When a router
+ * restarts, the monotonic clock of its host or the leader's clock shows how long its earlier
+ * incarnation can have lived, and the part of the reserve that the schedule had not opened by then
+ * is reclaimed.
  */
 public final class PrepaidLedger {
 
@@ -165,10 +166,16 @@
    * Applies the returns of a router incarnation and grants allotments. A request grants and opens
    * nothing if its number is not higher than the last one of the incarnation, or if the incarnation
    * is closed.
+   *
+   * @param proposedAt the leader's clocks when it proposed the request
    */
   public List<Allotment> renew(
-      String router, long number, IncarnationTimes times, List<Demand> demands) {
-    Account account = openAccount(router, times);
+      String router,
+      long number,
+      IncarnationTimes times,
+      List<Demand> demands,
+      LeaderTime proposedAt) {
+    Account account = openAccount(router, times, proposedAt);
     boolean repeated = number <= account.lastRequestNumber || account.closed;
     if (!repeated) {
       account.lastRequestNumber = number;
@@ -191,10 +198,10 @@
     return allotments;
   }
 
-  private Account openAccount(String router, IncarnationTimes times) {
+  private Account openAccount(String router, IncarnationTimes times, LeaderTime proposedAt) {
     Account account = routers.get(router);
     if (account == null) {
-      closeEarlierIncarnations(times);
+      closeEarlierIncarnations(times, proposedAt);
       account = new Account();
       account.times = times;
       routers.put(router, account);
@@ -275,22 +282,23 @@
    * Closes the earlier incarnations on a host, and reclaims the part of their reserves that they
    * provably did not open.
    */
-  private void closeEarlierIncarnations(IncarnationTimes times) {
+  private void closeEarlierIncarnations(IncarnationTimes times, LeaderTime proposedAt) {
     routers.forEach(
         (router, a) -> {
           if (!a.closed && a.times.host().equals(times.host())) {
-            close(router, a, times);
+            close(router, a, times, proposedAt);
           }
         });
   }
 
-  private void close(String router, Account account, IncarnationTimes later) {
+  private void close(
+      String router, Account account, IncarnationTimes later, LeaderTime proposedAt) {
     account.closed = true;
     account.holdings.forEach(
         (workspace, h) -> {
           heldSums.merge(workspace, -h.held, Long::sum);
           WorkspaceTotals before = totalsOf(workspace, h);
-          long reclaimedNow = account.times.provablyUnopened(h.reserve(), later);
+          long reclaimedNow = account.times.provablyUnopened(h.reserve(), later, proposedAt);
           reclaim(workspace, h, reclaimedNow);
           strandedSums.merge(workspace, h.held, Long::sum);
           closureListener.accept(new Closure(router, workspace, before, reclaimedNow));
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
+import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.CrashReport;
 import org.goldcrestfall.core.quarantine.ServicePart;
@@ -19,9 +20,18 @@
   record PutConfiguration(long version, byte[] document, ImmutableMap<String, Long> totals)
       implements SiteCommand {}
 
-  /** Returns prepaid tokens of a router incarnation to the ledger and requests new ones. */
+  /**
+   * Returns prepaid tokens of a router incarnation to the ledger and requests new ones.
+   *
+   * @param proposedAt the leader's clocks when it proposed the command; {@link LeaderTime#NONE}
+   *     before that
+   */
   record RenewAllotments(
-      String router, long number, IncarnationTimes times, List<PrepaidLedger.Demand> demands)
+      String router,
+      long number,
+      IncarnationTimes times,
+      List<PrepaidLedger.Demand> demands,
+      LeaderTime proposedAt)
       implements SiteCommand {}
 
   /**
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
@@ -3,6 +3,7 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import java.util.function.Consumer;
+import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.CrashReport;
 import org.goldcrestfall.core.quarantine.PartQuarantine;
@@ -24,8 +25,21 @@
         new StoredConfiguration(0, 0, new byte[0], ImmutableMap.of());
   }
 
-  /** The version in force after a command, and the allotments that the command renewed. */
-  public record Reply(long version, List<PrepaidLedger.Allotment> allotments) {}
+  /**
+   * The reply to a command.
+   *
+   * @param version the version in force after the command
+   * @param allotments the allotments that the command renewed
+   * @param proposedAt when the leader proposed the command, if it renewed allotments
+   */
+  public record Reply(
+      long version, List<PrepaidLedger.Allotment> allotments, LeaderTime proposedAt) {
+
+    /** Creates the reply to a command that renews no allotments. */
+    public static Reply ofVersion(long version) {
+      return new Reply(version, List.of(), LeaderTime.NONE);
+    }
+  }
 
   private final PrepaidLedger ledger = new PrepaidLedger();
   private final PartQuarantine quarantine = new PartQuarantine();
@@ -39,17 +53,18 @@
         configuration = new StoredConfiguration(c.version(), index, c.document(), c.totals());
         ledger.setTotals(c.totals());
       }
-      return new Reply(configuration.version(), List.of());
+      return Reply.ofVersion(configuration.version());
     }
     if (command instanceof SiteCommand.ReportCrashes c) {
       if (quarantine.update(c.lost(), c.answered(), c.sentAtMillis())) {
         quarantineView = QuarantineView.of(index, quarantine.suspects());
       }
-      return new Reply(configuration.version(), List.of());
+      return Reply.ofVersion(configuration.version());
     }
     SiteCommand.RenewAllotments c = (SiteCommand.RenewAllotments) command;
-    return new Reply(
-        configuration.version(), ledger.renew(c.router(), c.number(), c.times(), c.demands()));
+    List<PrepaidLedger.Allotment> allotments =
+        ledger.renew(c.router(), c.number(), c.times(), c.demands(), c.proposedAt());
+    return new Reply(configuration.version(), allotments, c.proposedAt());
   }
 
   /** Returns the configuration in force. */
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/KilledRoutersTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/KilledRoutersTest.java
@@ -77,8 +77,16 @@
               .orElse(List.of());
       IncarnationTimes times =
           new IncarnationTimes(
-              host, startedAtMillis, now, schedule.opensAtMillis(), schedule.openingMillis(), 0);
-      ledger.renew(name, ++renewals, times, demands).forEach(a -> account.applyAllotment(a, now));
+              host,
+              startedAtMillis,
+              now,
+              schedule.opensAtMillis(),
+              schedule.openingMillis(),
+              0,
+              LeaderTime.NONE);
+      ledger
+          .renew(name, ++renewals, times, demands, LeaderTime.NONE)
+          .forEach(a -> account.applyAllotment(a, now));
       schedule.recordRenewal(now);
     }
 
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
@@ -15,6 +15,7 @@
 final class PrepaidEscrowPropertyTest {
 
   private static final String WORKSPACE = "w";
+  private static final LeaderTime NO_TIME = LeaderTime.NONE;
 
   private static final long OPEN_RESERVE_AFTER_MILLIS = ReserveSchedule.DELAY_MILLIS;
 
@@ -27,6 +28,8 @@
     final List<Long> reserved = new ArrayList<>();
     final ReserveSchedule schedule;
     long lastRenewalNumber;
+    LeaderTime leaderTime = LeaderTime.NONE;
+    long leaderTimeReceivedAtMillis;
     long borrowed;
     long lent;
     boolean killed;
@@ -47,7 +50,13 @@
 
     IncarnationTimes times(long now, long offset) {
       return new IncarnationTimes(
-          host, startedAtMillis, now, schedule.opensAtMillis(), schedule.openingMillis(), offset);
+          host,
+          startedAtMillis,
+          now,
+          schedule.opensAtMillis(),
+          schedule.openingMillis(),
+          offset,
+          leaderTime.plus(now - leaderTimeReceivedAtMillis));
     }
   }
 
@@ -64,6 +73,17 @@
     }
   }
 
+  /** The clocks of the leader; its monotonic clock stands still while its host is suspended. */
+  private static final class LeaderClocks {
+    long process = 1;
+    long initialMillis;
+    long suspendedMillis;
+
+    LeaderTime now(long time) {
+      return new LeaderTime(process, time + initialMillis - suspendedMillis, suspendedMillis);
+    }
+  }
+
   /**
    * Runs random sequences of renewals whose answers are lost, duplicated or delayed, loans whose
    * answers are lost, partitioned routers that open their reserve, routers that restart after a
@@ -85,12 +105,15 @@
     List<Router> killed = new ArrayList<>();
     long spentByKilled = 0;
     long time = 0;
+    LeaderClocks leader = new LeaderClocks();
+    long[] timeOfDelivery = new long[1];
     List<Runnable> delayedAnswers = new ArrayList<>();
     for (int step = 1; step <= 300; step++) {
       time += random.nextInt(400);
       final Router r = routers.get(random.nextInt(routers.size()));
       final HostClock clock = clocks.get(r.host);
       final long now = clock.now(time);
+      timeOfDelivery[0] = time;
       for (Router each : routers) {
         each.account.openReserve(each.schedule.advance(clocks.get(each.host).now(time)));
       }
@@ -108,15 +131,18 @@
           // A renewal without news of the workspace has no demand for it.
           boolean heartbeat = !r.account.hasUnreportedOpenings() && random.nextInt(3) == 0;
           List<PrepaidLedger.Demand> demands = heartbeat ? List.of() : List.of(demand);
-          var answers = ledger.renew(r.name, ++r.lastRenewalNumber, times, demands);
+          LeaderTime proposedAt = leader.now(time);
+          var answers = ledger.renew(r.name, ++r.lastRenewalNumber, times, demands, proposedAt);
           // After a lost answer, the command is sent again and can be in the log twice.
           if (random.nextInt(4) == 0) {
-            answers = ledger.renew(r.name, r.lastRenewalNumber, times, demands);
+            answers = ledger.renew(r.name, r.lastRenewalNumber, times, demands, proposedAt);
           }
           var delivered = answers;
           Runnable deliver =
               () -> {
                 r.schedule.recordRenewal(now);
+                r.leaderTime = proposedAt;
+                r.leaderTimeReceivedAtMillis = clock.now(timeOfDelivery[0]);
                 delivered.forEach(a -> r.account.applyAllotment(a, 0));
               };
           if (random.nextInt(4) != 0) {
@@ -162,6 +188,13 @@
             Router next = new Router(r.host, step, clock.now(time));
             routers.set(routers.indexOf(r), next);
             delayedAnswers.clear();
+          } else if (random.nextInt(8) == 0) {
+            leader.process++;
+            leader.initialMillis = random.nextInt(2_000_000);
+          } else if (random.nextInt(8) == 0) {
+            long suspendedMillis = 500 + random.nextInt(10_000);
+            time += suspendedMillis;
+            leader.suspendedMillis += suspendedMillis;
           } else if (random.nextInt(5) == 0) {
             var stored = ledger.routers();
             ledger = new PrepaidLedger();
@@ -206,7 +239,8 @@
         sentAtMillis,
         reserveOpensAtMillis,
         ReserveSchedule.OPENING_MILLIS,
-        0);
+        0,
+        NO_TIME);
   }
 
   private static PrepaidLedger.Demand demand(long wanted, long needed, long toOpen) {
@@ -216,7 +250,12 @@
   private static PrepaidLedger.Allotment renew(
       PrepaidLedger ledger, String router, long number, PrepaidLedger.Demand demand) {
     return ledger
-        .renew(router, number, times(router, 0, 0, OPEN_RESERVE_AFTER_MILLIS), List.of(demand))
+        .renew(
+            router,
+            number,
+            times(router, 0, 0, OPEN_RESERVE_AFTER_MILLIS),
+            List.of(demand),
+            NO_TIME)
         .get(0);
   }
 
@@ -229,9 +268,9 @@
   @Example
   void reserveOfKilledRouterIsReclaimedAndItsOpenTokensAreNot() {
     PrepaidLedger ledger = ledgerOf(10_000);
-    ledger.renew("h#1", 1, times("h", 0, 1_000, 3_500), List.of(demand(2_000, 0, 500)));
+    ledger.renew("h#1", 1, times("h", 0, 1_000, 3_500), List.of(demand(2_000, 0, 500)), NO_TIME);
     assertThat(ledger.available(WORKSPACE)).isEqualTo(8_000);
-    ledger.renew("h#2", 1, times("h", 2_800, 2_900, 6_300), List.of());
+    ledger.renew("h#2", 1, times("h", 2_800, 2_900, 6_300), List.of(), NO_TIME);
     assertThat(ledger.available(WORKSPACE)).isEqualTo(9_500);
     assertThat(renew(ledger, "h#1", 2, demand(1_000, 0, 0)).grantedTotal()).isEqualTo(500);
   }
@@ -242,13 +281,14 @@
     PrepaidLedger ledger = ledgerOf(10_000);
     List<PrepaidLedger.Closure> closures = new ArrayList<>();
     ledger.onClosure(closures::add);
-    ledger.renew("h#1", 1, times("h", 0, 1_000, 3_500), List.of(demand(2_000, 0, 500)));
+    ledger.renew("h#1", 1, times("h", 0, 1_000, 3_500), List.of(demand(2_000, 0, 500)), NO_TIME);
     assertThat(ledger.distribution(WORKSPACE))
         .isEqualTo(new PrepaidLedger.Distribution(10_000, 8_000, 2_000, 0));
-    ledger.renew("h#2", 1, times("h", 2_800, 2_900, 6_300), List.of(demand(1_000, 0, 100)));
+    ledger.renew(
+        "h#2", 1, times("h", 2_800, 2_900, 6_300), List.of(demand(1_000, 0, 100)), NO_TIME);
     assertThat(ledger.distribution(WORKSPACE))
         .isEqualTo(new PrepaidLedger.Distribution(10_000, 8_500, 1_000, 500));
-    ledger.renew("h#3", 1, times("h", 99_000, 99_000, 102_500), List.of());
+    ledger.renew("h#3", 1, times("h", 99_000, 99_000, 102_500), List.of(), NO_TIME);
     assertThat(ledger.distribution(WORKSPACE))
         .isEqualTo(new PrepaidLedger.Distribution(10_000, 8_500, 0, 1_500));
     assertThat(closures).extracting(PrepaidLedger.Closure::reclaimed).containsExactly(1_500L, 0L);
@@ -259,15 +299,22 @@
 
   private static long availableAfterRestart(long openingMillis, long restartedAtMillis) {
     PrepaidLedger ledger = ledgerOf(10_000);
-    IncarnationTimes first = new IncarnationTimes("h", 0, 1_000, 3_500, openingMillis, 0);
-    ledger.renew("h#1", 1, first, List.of(demand(2_000, 0, 500)));
+    IncarnationTimes first = new IncarnationTimes("h", 0, 1_000, 3_500, openingMillis, 0, NO_TIME);
+    ledger.renew("h#1", 1, first, List.of(demand(2_000, 0, 500)), NO_TIME);
     long opensAtMillis = restartedAtMillis + 3_500;
     ledger.renew(
         "h#2",
         1,
         new IncarnationTimes(
-            "h", restartedAtMillis, restartedAtMillis + 100, opensAtMillis, openingMillis, 0),
-        List.of());
+            "h",
+            restartedAtMillis,
+            restartedAtMillis + 100,
+            opensAtMillis,
+            openingMillis,
+            0,
+            NO_TIME),
+        List.of(),
+        NO_TIME);
     return ledger.available(WORKSPACE);
   }
 
@@ -280,6 +327,41 @@
     assertThat(availableAfterRestart(6_000, 99_000)).isEqualTo(8_000);
   }
 
+  private static long availableAfterPowerLoss(LeaderTime sentAt, LeaderTime restartedAt) {
+    PrepaidLedger ledger = ledgerOf(10_000);
+    IncarnationTimes first = new IncarnationTimes("h", 0, 51_000, 53_500, 6_000, 0, sentAt);
+    ledger.renew("h#1", 1, first, List.of(demand(2_000, 0, 500)), NO_TIME);
+    IncarnationTimes second = new IncarnationTimes("h", 10, 500, 3_510, 6_000, 50_000, NO_TIME);
+    ledger.renew("h#2", 1, second, List.of(), restartedAt);
+    return ledger.available(WORKSPACE);
+  }
+
+  /** Guards against tokens that are lost with routers whose hosts had no power for a while. */
+  @Example
+  void clockOfTheLeaderBoundsTheLifeOfRouterThatLostPower() {
+    LeaderTime sentAt = new LeaderTime(7, 1_000, 300_000);
+    assertThat(availableAfterPowerLoss(sentAt, new LeaderTime(7, 3_300, 300_100))).isEqualTo(9_500);
+    assertThat(availableAfterPowerLoss(sentAt, new LeaderTime(7, 3_500, 300_100))).isEqualTo(9_475);
+    assertThat(availableAfterPowerLoss(sentAt, new LeaderTime(7, 6_400, 300_000))).isEqualTo(8_750);
+    assertThat(availableAfterPowerLoss(sentAt, new LeaderTime(7, 9_900, 300_000))).isEqualTo(8_000);
+  }
+
+  /** The readings of another process, or of a host that was suspended, prove nothing. */
+  @Example
+  void clocksOfTheLeaderThatCannotBeComparedProveNothing() {
+    LeaderTime sentAt = new LeaderTime(7, 1_000, 300_000);
+    for (LeaderTime restartedAt :
+        List.of(
+            new LeaderTime(8, 3_300, 300_000),
+            new LeaderTime(7, 900, 300_000),
+            new LeaderTime(7, 3_300, 300_251),
+            new LeaderTime(7, 3_300, 299_000),
+            LeaderTime.NONE)) {
+      assertThat(availableAfterPowerLoss(sentAt, restartedAt)).isEqualTo(8_000);
+    }
+    assertThat(availableAfterPowerLoss(NO_TIME, NO_TIME)).isEqualTo(8_000);
+  }
+
   @Example
   void reserveThatOpensAtOnceStaysStranded() {
     assertThat(availableAfterRestart(0, 3_499)).isEqualTo(9_500);
@@ -290,12 +372,17 @@
   @Example
   void restartedClockDoesNotProveThatReserveIsUnopened() {
     PrepaidLedger ledger = ledgerOf(10_000);
-    ledger.renew("h#1", 1, times("h", 0, 1_000, 3_500), List.of(demand(2_000, 0, 500)));
-    ledger.renew("h#2", 1, times("h", 900, 950, 4_400), List.of());
+    ledger.renew("h#1", 1, times("h", 0, 1_000, 3_500), List.of(demand(2_000, 0, 500)), NO_TIME);
+    ledger.renew("h#2", 1, times("h", 900, 950, 4_400), List.of(), NO_TIME);
     assertThat(ledger.available(WORKSPACE)).isEqualTo(8_000);
     PrepaidLedger other = ledgerOf(10_000);
-    other.renew("h#1", 1, times("h", 0, 1_000, 3_500), List.of(demand(2_000, 0, 500)));
-    other.renew("h#2", 1, new IncarnationTimes("h", 2_800, 2_900, 6_300, 6_000, 90_000), List.of());
+    other.renew("h#1", 1, times("h", 0, 1_000, 3_500), List.of(demand(2_000, 0, 500)), NO_TIME);
+    other.renew(
+        "h#2",
+        1,
+        new IncarnationTimes("h", 2_800, 2_900, 6_300, 6_000, 90_000, NO_TIME),
+        List.of(),
+        NO_TIME);
     assertThat(other.available(WORKSPACE)).isEqualTo(8_000);
   }
 
@@ -336,7 +423,7 @@
     for (int round = 2; round < 6; round++) {
       for (int i = 0; i < accounts.length; i++) {
         IncarnationTimes times = times("r" + i, 0, 0, OPEN_RESERVE_AFTER_MILLIS);
-        for (var allotment : ledger.renew("r" + i, 10L * round, times, List.of())) {
+        for (var allotment : ledger.renew("r" + i, 10L * round, times, List.of(), NO_TIME)) {
           accounts[i].applyAllotment(allotment, 0);
         }
         long held = accounts[i].free() + accounts[i].unopened();
--- a/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import net.jqwik.api.Example;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
+import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.CrashReport;
 
@@ -16,7 +17,8 @@
  */
 final class SiteStateTest {
 
-  private static final IncarnationTimes TIMES = new IncarnationTimes("r", 0, 0, 0, 0, 0);
+  private static final IncarnationTimes TIMES =
+      new IncarnationTimes("r", 0, 0, 0, 0, 0, LeaderTime.NONE);
 
   private static SiteCommand.PutConfiguration put(long version, long total) {
     return new SiteCommand.PutConfiguration(
@@ -58,11 +60,12 @@
     SiteState state = new SiteState();
     state.apply(1, put(1, 100));
     var demand = List.of(new PrepaidLedger.Demand("w", 0, 0, 0, 20, 0, 0, 0));
-    state.apply(2, new SiteCommand.RenewAllotments("r", 1, TIMES, demand));
+    state.apply(2, new SiteCommand.RenewAllotments("r", 1, TIMES, demand, LeaderTime.NONE));
     SiteState restored = new SiteState();
     restored.restore(
         state.configuration(), state.allotments(), state.crashReports(), state.quarantine());
-    var reply = restored.apply(3, new SiteCommand.RenewAllotments("r", 1, TIMES, demand));
+    var reply =
+        restored.apply(3, new SiteCommand.RenewAllotments("r", 1, TIMES, demand, LeaderTime.NONE));
     assertThat(reply.allotments().get(0).grantedTotal()).isEqualTo(20);
     assertThat(reply.allotments().get(0).available()).isEqualTo(80);
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlReplica.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlReplica.java
@@ -166,7 +166,7 @@
           }
           long id = ++lastRequestId;
           proposals.put(id, reply);
-          handle(new Event.Propose(id, command));
+          handle(new Event.Propose(id, machine.stampProposal(command)));
         },
         reply);
     return reply;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/StateMachine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/StateMachine.java
@@ -7,6 +7,14 @@
  */
 public interface StateMachine {
 
+  /**
+   * Adds to a command what only the member that proposes it knows, such as the time. Called before
+   * the command enters the log, so that all members apply the same bytes.
+   */
+  default byte[] stampProposal(byte[] command) {
+    return command;
+  }
+
   /** Applies the command at the given log index and returns its reply. */
   byte[] apply(long index, byte[] command);
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -16,6 +16,7 @@
 import org.goldcrestfall.core.gateway.WorkspaceSettings;
 import org.goldcrestfall.core.prepaid.HoldingPolicy;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
+import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidAccount;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.prepaid.ReserveSchedule;
@@ -85,6 +86,11 @@
   private final long startedAtMillis = steadyClock.nowMillis();
   private final ReserveSchedule reserveSchedule = new ReserveSchedule(startedAtMillis);
   private long renewalSentAtMillis;
+
+  /** The leader's clocks in its last reply, and the time here when that reply was received. */
+  private LeaderTime leaderTime = LeaderTime.NONE;
+
+  private long leaderTimeReceivedAtMillis;
   private boolean ledgerTimedOut;
   private long lastRenewalNumber;
   private CompletableFuture<Void> renewal = CompletableFuture.completedFuture(null);
@@ -358,14 +364,18 @@
             now,
             reserveSchedule.opensAtMillis(),
             reserveSchedule.openingMillis(),
-            wallClock.nowMillis() - now);
+            wallClock.nowMillis() - now,
+            leaderTime.plus(now - leaderTimeReceivedAtMillis));
     return SiteCodec.encodeCommand(
-        new SiteCommand.RenewAllotments(router, ++lastRenewalNumber, times, demands));
+        new SiteCommand.RenewAllotments(
+            router, ++lastRenewalNumber, times, demands, LeaderTime.NONE));
   }
 
   private void applyReply(byte[] reply) {
     try {
       SiteState.Reply decoded = SiteCodec.decodeReply(reply);
+      leaderTime = decoded.proposedAt();
+      leaderTimeReceivedAtMillis = steadyClock.nowMillis();
       for (PrepaidLedger.Allotment a : decoded.allotments()) {
         PrepaidAccount account = account(a.workspace());
         account.applyAllotment(a, clock.nowMillis());
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -3,12 +3,14 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.ImmutableSet;
+import com.google.common.primitives.Bytes;
 import com.google.protobuf.ByteString;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
+import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.CrashReport;
 import org.goldcrestfall.core.quarantine.QuarantineView;
@@ -111,7 +113,8 @@
             decoded.getRenew().getRouter(),
             decoded.getRenew().getNumber(),
             decodeTimes(decoded.getRenew().getLife()),
-            demands);
+            demands,
+            decodeLeaderTime(decoded.getProposedAt()));
       case CRASHES:
         ReportCrashes crashes = decoded.getCrashes();
         return new SiteCommand.ReportCrashes(
@@ -125,8 +128,34 @@
     }
   }
 
+  /** Returns the command with the time of its proposal, which replaces an earlier one. */
+  static byte[] appendProposedAt(byte[] command, LeaderTime time) {
+    // Fields of concatenated protobuf messages are merged, and the last value of each counts.
+    byte[] proposedAt =
+        org.goldcrestfall.wire.generated.SiteCommand.newBuilder()
+            .setProposedAt(encodeLeaderTime(time))
+            .build()
+            .toByteArray();
+    return Bytes.concat(command, proposedAt);
+  }
+
+  private static org.goldcrestfall.wire.generated.LeaderTime encodeLeaderTime(LeaderTime time) {
+    return org.goldcrestfall.wire.generated.LeaderTime.newBuilder()
+        .setProcess(time.process())
+        .setMonotonic(time.millis())
+        .setClockOffset(time.clockOffsetMillis())
+        .build();
+  }
+
+  private static LeaderTime decodeLeaderTime(org.goldcrestfall.wire.generated.LeaderTime time) {
+    return new LeaderTime(time.getProcess(), time.getMonotonic(), time.getClockOffset());
+  }
+
   static byte[] encodeReply(SiteState.Reply reply) {
-    SiteReply.Builder out = SiteReply.newBuilder().setVersion(reply.version());
+    SiteReply.Builder out =
+        SiteReply.newBuilder()
+            .setVersion(reply.version())
+            .setProposedAt(encodeLeaderTime(reply.proposedAt()));
     for (PrepaidLedger.Allotment a : reply.allotments()) {
       out.addAllotments(
           AllotmentState.newBuilder()
@@ -153,7 +182,8 @@
               a.getUnused(),
               a.getMaxHeld()));
     }
-    return new SiteState.Reply(decoded.getVersion(), allotments);
+    return new SiteState.Reply(
+        decoded.getVersion(), allotments, decodeLeaderTime(decoded.getProposedAt()));
   }
 
   static byte[] encodeSnapshot(SiteState state) {
@@ -280,6 +310,7 @@
         .setSentAt(times.sentAtMillis())
         .setOpensAt(times.reserveOpensAtMillis())
         .setOpeningMillis(times.reserveOpeningMillis())
+        .setLeaderSentAt(encodeLeaderTime(times.leaderSentAt()))
         .setClockOffset(times.clockOffsetMillis())
         .build();
   }
@@ -291,7 +322,8 @@
         life.getSentAt(),
         life.getOpensAt(),
         life.getOpeningMillis(),
-        life.getClockOffset());
+        life.getClockOffset(),
+        decodeLeaderTime(life.getLeaderSentAt()));
   }
 
   private static List<PrepaidTotal> encodeTotals(Map<String, Long> totals) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
@@ -4,8 +4,9 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.common.primitives.Longs;
 import com.google.protobuf.InvalidProtocolBufferException;
-import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 import org.goldcrestfall.core.common.MillisClock;
+import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.site.SiteCommand;
@@ -30,6 +31,11 @@
 
   private final SiteState state = new SiteState();
   private final MillisClock clock = MillisClock.hostMonotonic();
+  private final MillisClock wallClock = MillisClock.utc();
+
+  /** Identifies the clocks of this process in {@link LeaderTime}. */
+  private final long processId = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
+
   private long ledgerReportedAtMillis = -LEDGER_REPORT_INTERVAL_MILLIS;
   private volatile ImmutableMap<String, PrepaidLedger.Distribution> prepaidTokens =
       ImmutableMap.of();
@@ -82,9 +88,16 @@
     return quarantine;
   }
 
+  @Override
+  public byte[] stampProposal(byte[] command) {
+    long now = clock.nowMillis();
+    return SiteCodec.appendProposedAt(
+        command, new LeaderTime(processId, now, wallClock.nowMillis() - now));
+  }
+
   @Override
   public byte[] apply(long index, byte[] command) {
-    SiteState.Reply reply = new SiteState.Reply(configuration.version(), List.of());
+    SiteState.Reply reply = SiteState.Reply.ofVersion(configuration.version());
     try {
       SiteCommand decoded = SiteCodec.decodeCommand(command);
       if (decoded != null) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/OddMessageTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/OddMessageTest.java
@@ -12,6 +12,7 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
+import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.CrashReport;
 import org.goldcrestfall.core.quarantine.ServicePart;
@@ -50,8 +51,16 @@
           new SiteCommand.RenewAllotments(
               text(r),
               number(r),
-              new IncarnationTimes(text(r), number(r), number(r), number(r), number(r), number(r)),
-              List.of(demand(r), demand(r)));
+              new IncarnationTimes(
+                  text(r),
+                  number(r),
+                  number(r),
+                  number(r),
+                  number(r),
+                  number(r),
+                  new LeaderTime(number(r), number(r), number(r))),
+              List.of(demand(r), demand(r)),
+              new LeaderTime(number(r), number(r), number(r)));
       default ->
           new SiteCommand.ReportCrashes(
               List.of(
