Lose fewer open and reserved tokens with a killed router

A reserve opens over 7 s, which is the rate of the expected use, in place of 6. Open tokens that an ended request gives back are returned at once if they are too many, and the ledger is told so with the same renewal. Tests: HoldingPolicyTest.excessOfOpenTokensIsReturnedAtOnce; KilledRoutersTest holds.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/HoldingPolicy.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/HoldingPolicy.java
@@ -52,6 +52,13 @@
     return account.free() < openTarget(target(account, total, routers, nowMillis)) / 2;
   }
 
+  /** Returns whether more tokens are open than needed, which would be lost with this router. */
+  public static boolean hasTooManyOpenTokens(
+      PrepaidAccount account, long total, int routers, long nowMillis) {
+    return account.waiting() == 0
+        && account.free() > RETURN_ABOVE * openTarget(target(account, total, routers, nowMillis));
+  }
+
   /** Returns whether the router should return tokens at once, as the ledger last stated. */
   public static boolean holdsTooMany(PrepaidAccount account, long nowMillis) {
     return account.free() + account.unopened() > RETURN_ABOVE * account.maxHeld(nowMillis);
@@ -74,7 +81,9 @@
       long nowMillis) {
     long target = target(account, total, routers, nowMillis);
     long openTarget = openTarget(target);
-    if (!ledgerTimedOut && account.free() > RETURN_ABOVE * openTarget && account.waiting() == 0) {
+    boolean returnsOpenTokens =
+        !ledgerTimedOut && hasTooManyOpenTokens(account, total, routers, nowMillis);
+    if (returnsOpenTokens) {
       // After the ledger was unreachable, many tokens are open. The excess is returned to the
       // ledger, which grants it again as reserve where it is needed.
       account.returnOpenTokens(account.free() - openTarget);
@@ -94,7 +103,7 @@
     long wanted = held < RENEW_BELOW * target ? target - held : 0;
     long toOpen = account.free() < RENEW_BELOW * openTarget ? openTarget - account.free() : 0;
     boolean opens = toOpen > 0 && account.unopened() > 0;
-    if (wanted > 0 || opens || account.hasUnreportedOpenings()) {
+    if (wanted > 0 || opens || returnsOpenTokens || account.hasUnreportedOpenings()) {
       return Optional.of(account.demandFor(workspace, wanted, 0, toOpen));
     }
     return Optional.empty();
--- a/core/src/main/java/org/goldcrestfall/core/prepaid/ReserveSchedule.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/ReserveSchedule.java
@@ -11,8 +11,8 @@
   /** Time from the sending of the last successful renewal until the reserves begin to open. */
   static final long DELAY_MILLIS = 3_500;
 
-  /** Time over which the reserves then open. */
-  static final long OPENING_MILLIS = 6_000;
+  /** Time over which the reserves then open, at about the rate of the expected use. */
+  static final long OPENING_MILLIS = 7_000;
 
   /** The reserves are opened in steps, because fractions of tokens are lost in each step. */
   private static final long STEP_MILLIS = 100;
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/HoldingPolicyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/HoldingPolicyTest.java
@@ -43,4 +43,20 @@
     assertThat(demand.returnedTotal()).isZero();
     assertThat(demand.toOpen()).isEqualTo(10_000);
   }
+
+  /** Guards against open tokens that a request gave back and that are lost with the router. */
+  @Example
+  void excessOfOpenTokensIsReturnedAtOnce() {
+    PrepaidAccount account = new PrepaidAccount();
+    account.applyAllotment(
+        new PrepaidLedger.Allotment(WORKSPACE, 22_000, 12_000, 500_000, 500_000, Long.MAX_VALUE),
+        0);
+    account.recordDemand(10_000, 0);
+    assertThat(account.reserve(10_000)).isTrue();
+    assertThat(HoldingPolicy.hasTooManyOpenTokens(account, TOTAL, 5, 100)).isFalse();
+    account.settle(10_000, 2_500);
+    assertThat(HoldingPolicy.hasTooManyOpenTokens(account, TOTAL, 5, 100)).isTrue();
+    assertThat(demandOf(account, 100).openReturnedTotal()).isPositive();
+    assertThat(HoldingPolicy.hasTooManyOpenTokens(account, TOTAL, 5, 100)).isFalse();
+  }
 }
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/KilledRoutersTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/KilledRoutersTest.java
@@ -90,6 +90,13 @@
       schedule.recordRenewal(now);
     }
 
+    void settle() {
+      account.settle(MAX_TOKENS, USED_TOKENS);
+      if (HoldingPolicy.hasTooManyOpenTokens(account, TOTAL, ROUTERS, now)) {
+        renew();
+      }
+    }
+
     boolean reserve() {
       account.recordDemand(MAX_TOKENS, now);
       if (account.reserve(MAX_TOKENS)) {
@@ -169,7 +176,7 @@
         () -> {
           used += USED_TOKENS;
           if (!router.ended) {
-            router.account.settle(MAX_TOKENS, USED_TOKENS);
+            router.settle();
           }
           after(SETTLE_MILLIS, () -> unsettled--);
         });
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -83,8 +83,8 @@
   private Map<String, Long> totals = Map.of();
   private final MillisClock steadyClock = MillisClock.hostMonotonic();
   private final MillisClock wallClock = MillisClock.utc();
-  private final long startedAtMillis = steadyClock.nowMillis();
-  private final ReserveSchedule reserveSchedule = new ReserveSchedule(startedAtMillis);
+  private final long startedAtMillis;
+  private final ReserveSchedule reserveSchedule;
   private long renewalSentAtMillis;
 
   /** The leader's clocks in its last reply, and the time here when that reply was received. */
@@ -105,16 +105,21 @@
    *
    * @param host the host of the router; earlier router processes on it have ended
    * @param router the name of the incarnation, which is never used again
+   * @param startedAtMillis the time on the monotonic clock of the host at which this process
+   *     started; the earlier it is, the more tokens of an earlier process can be taken back
    */
   public PrepaidTokens(
       String host,
       String router,
+      long startedAtMillis,
       SiteClient siteClient,
       PeerTransport transport,
       EventLoop loop,
       MillisClock clock) {
     this.host = host;
     this.router = router;
+    this.startedAtMillis = startedAtMillis;
+    reserveSchedule = new ReserveSchedule(startedAtMillis);
     this.siteClient = siteClient;
     this.transport = transport;
     this.loop = loop;
@@ -185,7 +190,14 @@
 
   /** Ends a reservation of which {@code used} tokens were consumed. */
   public void settle(String workspace, long reserved, long used) {
-    account(workspace).settle(reserved, used);
+    PrepaidAccount account = account(workspace);
+    account.settle(reserved, used);
+    boolean excessive =
+        HoldingPolicy.hasTooManyOpenTokens(
+            account, total(workspace), siteClient.routerCount(), clock.nowMillis());
+    if (excessive && !ledgerTimedOut) {
+      scheduleRenewal();
+    }
   }
 
   private PrepaidAccount account(String workspace) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -120,7 +120,9 @@
     DaemonEntry self = DaemonEntry.newBuilder().setAddress(transport.address()).build();
     site =
         new SiteClient(self, seeds, transport, d -> gateway.configuration(), loop, clock, gateway);
-    PrepaidTokens prepaid = new PrepaidTokens("r", "r#1", site, transport, loop, clock);
+    PrepaidTokens prepaid =
+        new PrepaidTokens(
+            "r", "r#1", MillisClock.hostMonotonic().nowMillis(), site, transport, loop, clock);
     gateway.attach(site, prepaid, transport);
     server = GatewayServer.bind(gateway, loop, "127.0.0.1", 0);
   }
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -198,7 +198,15 @@
             .setZone("z0")
             .build();
     SiteClient site = new SiteClient(self, seeds, transport, DECODER, loop, clock, listener);
-    tokens[0] = new PrepaidTokens(host, host + "#1", site, transport, loop, clock);
+    tokens[0] =
+        new PrepaidTokens(
+            host,
+            host + "#1",
+            MillisClock.hostMonotonic().nowMillis(),
+            site,
+            transport,
+            loop,
+            clock);
     tokens[0].start();
     site.start();
     return new Router(transport, site, tokens[0], versions, upstreams, quarantines);
