--- a/core/src/main/java/org/goldcrestfall/core/prepaid/IncarnationTimes.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/IncarnationTimes.java
@@ -38,12 +38,14 @@
   long provablyUnopened(long reserve, IncarnationTimes later, LeaderTime proposedAt) {
     long openingMillis =
         Math.min(openingMillisByHostClock(later), openingMillisByLeaderClock(proposedAt));
-    if (reserve <= 0 || openingMillis >= reserveOpeningMillis && openingMillis >= 0) {
+    if (openingMillis < 0) {
+      return Math.max(0, reserve);
+    }
+    long closedMillis = reserveOpeningMillis - openingMillis;
+    if (reserve <= 0 || closedMillis <= 0) {
       return 0;
     }
-    return openingMillis < 0
-        ? reserve
-        : (long) ((double) reserve * (reserveOpeningMillis - openingMillis) / reserveOpeningMillis);
+    return (long) ((double) reserve * closedMillis / reserveOpeningMillis);
   }
 
   /**
