Derive whether writes fail from the description of the fault

The flag was a second copy of the same state. No change of behavior: ControlFaultTest passes, with the fault that has no message.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/StorageThread.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/StorageThread.java
@@ -35,7 +35,6 @@
   private final BlockingQueue<Task> tasks = new LinkedBlockingQueue<>();
   private final Thread thread;
   private volatile boolean closed;
-  private volatile boolean failing;
   private volatile String fault = "";
 
   StorageThread(DataFolder folder, Consumer<Event> events) {
@@ -99,8 +98,7 @@
     while (!closed) {
       try {
         operation.run();
-        if (failing) {
-          failing = false;
+        if (!fault.isEmpty()) {
           fault = "";
           logger.atInfo().log("consensus: writes to the data folder succeed again");
           events.accept(new Event.DiskChanged(true));
@@ -108,8 +106,7 @@
         return;
       } catch (IOException | RuntimeException | Error e) {
         // Without this thread, the member would run on and never acknowledge anything again.
-        if (!failing) {
-          failing = true;
+        if (fault.isEmpty()) {
           logger.atSevere().withCause(e).log(
               "consensus: cannot write to the data folder; retrying, nothing is acknowledged");
           fault = e.toString();
@@ -128,7 +125,7 @@
   @Override
   public void close() {
     tasks.add(new Stop());
-    closed = failing;
+    closed = !fault.isEmpty();
     try {
       thread.join(RETRY_DELAY_MILLIS * 10);
       closed = true;
