Compute the expected demand once for each decision on tokens

The target of a router computed its demand twice, and a renewal computed the target twice. The first step of a schedule of reserves reads as one condition a line. No change of behavior: the tests of core.prepaid and SiteTest pass.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/HoldingPolicy.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/HoldingPolicy.java
@@ -34,9 +34,9 @@
   /** Returns the unused tokens that the router should hold, open or not. */
   private static long target(PrepaidAccount account, long total, int routers, long nowMillis) {
     long idleTarget = (long) (total * IDLE_FRACTION / routers);
-    long expectedUse = account.expectedUse(HOLD_HORIZON_MILLIS, nowMillis);
-    // Requests reserve more than they use, so at least one must fit.
     long expectedDemand = account.expectedDemand(HOLD_HORIZON_MILLIS, nowMillis);
+    long expectedUse = (long) (expectedDemand * account.usedFraction());
+    // Requests reserve more than they use, so at least one must fit.
     long oneRequest = Math.min(account.averageRequestTokens(), expectedDemand);
     long wanted = Math.max(idleTarget, Math.max(expectedUse, oneRequest));
     return Math.min(wanted, account.maxHeld(nowMillis));
@@ -55,8 +55,11 @@
   /** Returns whether more tokens are open than needed, which would be lost with this router. */
   public static boolean hasTooManyOpenTokens(
       PrepaidAccount account, long total, int routers, long nowMillis) {
-    return account.waiting() == 0
-        && account.free() > RETURN_ABOVE * openTarget(target(account, total, routers, nowMillis));
+    return hasTooManyOpenTokens(account, openTarget(target(account, total, routers, nowMillis)));
+  }
+
+  private static boolean hasTooManyOpenTokens(PrepaidAccount account, long openTarget) {
+    return account.waiting() == 0 && account.free() > RETURN_ABOVE * openTarget;
   }
 
   /** Returns whether the router should return tokens at once, as the ledger last stated. */
@@ -81,8 +84,7 @@
       long nowMillis) {
     long target = target(account, total, routers, nowMillis);
     long openTarget = openTarget(target);
-    boolean returnsOpenTokens =
-        !ledgerTimedOut && hasTooManyOpenTokens(account, total, routers, nowMillis);
+    boolean returnsOpenTokens = !ledgerTimedOut && hasTooManyOpenTokens(account, openTarget);
     if (returnsOpenTokens) {
       // After the ledger was unreachable, many tokens are open. The excess is returned to the
       // ledger, which grants it again as reserve where it is needed.
--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
@@ -174,13 +174,9 @@
     return (long) (demandTokensPerMillis / reachedFraction * millis);
   }
 
-  /**
-   * Returns the number of tokens that requests are expected to consume in {@code millis}: their
-   * recent demand, less what such requests give back when they end.
-   */
-  public long expectedUse(long millis, long nowMillis) {
-    double usedFraction = settledReserved == 0 ? 1 : settledUsed / settledReserved;
-    return (long) (expectedDemand(millis, nowMillis) * usedFraction);
+  /** Returns the fraction of their reservations that recent requests consumed; 1 before them. */
+  public double usedFraction() {
+    return settledReserved == 0 ? 1 : settledUsed / settledReserved;
   }
 
   /** Returns the average worst case of recent requests, or 0 before the first one. */
--- a/core/src/main/java/org/goldcrestfall/core/prepaid/ReserveSchedule.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/ReserveSchedule.java
@@ -50,8 +50,11 @@
 
   /** Returns which fraction of the tokens that are not open yet is to be opened now, once. */
   public double advance(long nowMillis) {
-    if (!isOpening(nowMillis) || openedFraction == 1) {
-      return isOpening(nowMillis) ? 1 : 0;
+    if (!isOpening(nowMillis)) {
+      return 0;
+    }
+    if (openedFraction == 1) {
+      return 1;
     }
     long elapsedMillis = (nowMillis - opensAtMillis) / STEP_MILLIS * STEP_MILLIS;
     double fraction = Math.min(1, (double) elapsedMillis / OPENING_MILLIS);
