Guard the election of an only voter by a test of the core

The test fails without that condition (role CANDIDATE in place of LEADER after five ticks) and passes with it.

--- a/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusRulesTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusRulesTest.java
@@ -72,6 +72,26 @@
     return effects.stream().filter(type::isInstance).map(type::cast).toList();
   }
 
+  /** Guards against an only voter that begins a new term at each tick, before its vote counts. */
+  @Example
+  void onlyVoterWinsThoughEachWriteIsSyncedAfterTheNextTick() {
+    Members onlyVoter = members("a#1");
+    Consensus member =
+        start(new PersistentState(HardState.INITIAL, Snapshot.initial(onlyVoter), List.of()));
+    List<Effect> unsynced = member.apply(new Event.Tick(), now);
+    for (int tick = 0; tick < 5; tick++) {
+      List<Effect> next = new ArrayList<>(member.apply(new Event.Tick(), ++now));
+      for (Effect effect : unsynced) {
+        if (effect instanceof Effect.Persist p) {
+          next.addAll(member.apply(new Event.Persisted(p.sequence()), now));
+        }
+      }
+      unsynced = next;
+    }
+    assertThat(member.role()).isEqualTo(Role.LEADER);
+    assertThat(member.term()).isEqualTo(1);
+  }
+
   /**
    * Guards against a member that votes twice in a term because it forgot its first vote in a
    * restart.
