Evacuate availability zones by orders of operators

Orders to empty a zone of upstreams were answered 404, so that operators got no acknowledgement and routers went on sending there. Routers choose no upstream of such a zone for a first send, a retry or a resumption, and check again when a connection is open.

--- a/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
@@ -41,4 +41,7 @@
    */
   record ReportCrashes(List<CrashReport> lost, List<ServicePart> answered, long sentAtMillis)
       implements SiteCommand {}
+
+  /** Evacuates an availability zone, or takes its evacuation back. */
+  record SetEvacuation(String zone, boolean evacuated) implements SiteCommand {}
 }
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
@@ -45,6 +45,7 @@
   private final PartQuarantine quarantine = new PartQuarantine();
   private StoredConfiguration configuration = StoredConfiguration.NONE;
   private QuarantineView quarantineView = QuarantineView.EMPTY;
+  private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
 
   /** Applies the command at a log index and returns the reply. */
   public Reply apply(long index, SiteCommand command) {
@@ -61,6 +62,10 @@
       }
       return Reply.ofVersion(configuration.version());
     }
+    if (command instanceof SiteCommand.SetEvacuation c) {
+      evacuatedZones = evacuatedZones.after(index, c);
+      return Reply.ofVersion(configuration.version());
+    }
     SiteCommand.RenewAllotments c = (SiteCommand.RenewAllotments) command;
     List<PrepaidLedger.Allotment> allotments =
         ledger.renew(c.router(), c.number(), c.times(), c.demands(), c.proposedAt());
@@ -77,6 +82,11 @@
     return quarantineView;
   }
 
+  /** Returns the availability zones whose upstreams get no new requests. */
+  public EvacuatedZones evacuatedZones() {
+    return evacuatedZones;
+  }
+
   /** Returns the reports of lost requests, for a snapshot. */
   public List<CrashReport> crashReports() {
     return quarantine.reports();
@@ -109,11 +119,13 @@
       StoredConfiguration stored,
       List<PrepaidLedger.IncarnationTotals> allotments,
       List<CrashReport> crashReports,
-      QuarantineView suspects) {
+      QuarantineView suspects,
+      EvacuatedZones evacuated) {
     configuration = stored;
     ledger.setTotals(stored.totals());
     ledger.restore(allotments);
     quarantine.restore(crashReports, suspects.parts().values().asList());
     quarantineView = suspects;
+    evacuatedZones = evacuated;
   }
 }
--- a/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
@@ -44,15 +44,15 @@
   @Example
   void replayedConfigurationsAreWithheldUntilConfirmedOneIsReached() {
     SiteState state = new SiteState();
-    ReplayedConfigurationFilter filter = new ReplayedConfigurationFilter();
+    ReplayProgress progress = new ReplayProgress();
     state.apply(1, put(1, 100));
-    assertThat(filter.filter(state.configuration()).index()).isZero();
-    filter.recordConfirmedIndex(3);
-    assertThat(filter.filter(state.configuration()).index()).isZero();
+    assertThat(progress.isComplete(state.configuration().index())).isFalse();
+    progress.recordConfirmedIndex(3);
+    assertThat(progress.isComplete(state.configuration().index())).isFalse();
     state.apply(3, put(2, 100));
-    assertThat(filter.filter(state.configuration()).version()).isEqualTo(2);
+    assertThat(progress.isComplete(state.configuration().index())).isTrue();
     state.apply(4, put(3, 100));
-    assertThat(filter.filter(state.configuration()).version()).isEqualTo(3);
+    assertThat(progress.isComplete(state.configuration().index())).isTrue();
   }
 
   @Example
@@ -63,7 +63,11 @@
     state.apply(2, new SiteCommand.RenewAllotments("r", 1, TIMES, demand, LeaderTime.NONE));
     SiteState restored = new SiteState();
     restored.restore(
-        state.configuration(), state.allotments(), state.crashReports(), state.quarantine());
+        state.configuration(),
+        state.allotments(),
+        state.crashReports(),
+        state.quarantine(),
+        state.evacuatedZones());
     var reply =
         restored.apply(3, new SiteCommand.RenewAllotments("r", 1, TIMES, demand, LeaderTime.NONE));
     assertThat(reply.allotments().get(0).grantedTotal()).isEqualTo(20);
@@ -81,7 +85,11 @@
     state.apply(5, crash("u5", 5_000, "other"));
     SiteState restored = new SiteState();
     restored.restore(
-        state.configuration(), state.allotments(), state.crashReports(), state.quarantine());
+        state.configuration(),
+        state.allotments(),
+        state.crashReports(),
+        state.quarantine(),
+        state.evacuatedZones());
     assertThat(restored.quarantine()).isEqualTo(state.quarantine());
     state.apply(6, crash("u6", 6_000, "other"));
     restored.apply(6, crash("u6", 6_000, "other"));
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -48,6 +48,9 @@
   /** Minimum Retry-After of a refusal for lack of capacity; jitter adds up to as much again. */
   private static final long RETRY_AFTER_MILLIS = 400;
 
+  /** Minimum Retry-After of a refusal because of an evacuation, which lasts for seconds. */
+  private static final long EVACUATED_RETRY_AFTER_MILLIS = 2_000;
+
   /** Minimum Retry-After of a refusal by a stopping router; the retry reaches another router. */
   private static final long DRAINING_RETRY_AFTER_MILLIS = 50;
 
@@ -227,6 +230,7 @@
     List<UpstreamLoad> candidates = new ArrayList<>(ready.size());
     for (Upstream u : ready.values()) {
       if (!triedUpstreams.contains(u.entry().id())
+          && !gateway.isEvacuated(u.entry().zone())
           && mayBeGranted(u, now)
           && (!u.idleConnections().isEmpty() || u.openConnections() < limit)) {
         candidates.add(u.load());
@@ -259,8 +263,16 @@
   }
 
   private void refuseForLackOfUpstreams() {
+    var ready = gateway.upstreams().ready(service).values();
+    if (!ready.isEmpty() && ready.stream().allMatch(u -> gateway.isEvacuated(u.entry().zone()))) {
+      refuse(
+          ErrorKind.NO_UPSTREAM,
+          "All upstreams of the service are in evacuated zones.",
+          jittered(EVACUATED_RETRY_AFTER_MILLIS));
+      return;
+    }
     OptionalLong limitedMillis =
-        gateway.upstreams().ready(service).values().stream()
+        ready.stream()
             .filter(u -> u.load().limit().isLimited())
             .mapToLong(u -> u.load().limitedMillis(gateway.now()))
             .min();
@@ -293,6 +305,11 @@
       connection.close();
       return;
     }
+    if (gateway.isEvacuated(upstream.entry().zone())) {
+      gateway.upstreams().release(connection);
+      dispatch(retryReason);
+      return;
+    }
     long now = gateway.now();
     if (!retryReason.isEmpty()) {
       gateway.metrics().recordRetry(retryReason);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -18,6 +18,7 @@
 import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.retry.RetryAllowance;
+import org.goldcrestfall.core.site.EvacuatedZones;
 import org.goldcrestfall.daemon.PeriodicTasks;
 import org.goldcrestfall.daemon.site.CrashReporter;
 import org.goldcrestfall.daemon.site.PermitClient;
@@ -56,6 +57,7 @@
   private PromptQuarantine quarantine;
   private UpstreamRateLimiter rateLimiter;
   private GatewayConfiguration configuration;
+  private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
   private long bufferedBytes;
   private final HeldBytes<ClientConnection> responseBytes;
   private boolean sheddingResponses;
@@ -97,6 +99,10 @@
         "limited_upstreams",
         "Upstreams that state a rate limit",
         () -> upstreams.all().stream().filter(u -> u.load().limit().isLimited()).count());
+    metrics.gauge(
+        "evacuated_zones",
+        "Availability zones whose upstreams get no new requests",
+        () -> evacuatedZones.zones().size());
     metrics.gauge(
         "suspect_parts",
         "Prompt parts under which upstreams crashed",
@@ -130,6 +136,18 @@
     quarantine.update(next);
   }
 
+  @Override
+  public void evacuationChanged(EvacuatedZones next) {
+    evacuatedZones = next;
+    logger.atInfo().log(
+        "evacuation: zones %s get no new requests since index %s", next.zones(), next.index());
+  }
+
+  /** Returns whether the upstreams of an availability zone get no new requests. */
+  boolean isEvacuated(String zone) {
+    return evacuatedZones.contains(zone);
+  }
+
   /** Returns whether requests can be served. */
   public boolean isReady() {
     return !isDraining() && configuration != null && !upstreams.isEmpty();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
@@ -14,6 +14,7 @@
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamRegistry;
 import org.goldcrestfall.core.site.DaemonView;
+import org.goldcrestfall.core.site.EvacuatedZones;
 import org.goldcrestfall.core.site.SiteDaemon;
 import org.goldcrestfall.wire.PeerTransport;
 import org.goldcrestfall.wire.generated.Body;
@@ -54,6 +55,7 @@
   private final List<Watcher> watchers = new ArrayList<>();
   private long configurationIndex;
   private long quarantineIndex;
+  private long evacuationIndex;
   private long lastContactAtMillis = Long.MIN_VALUE / 2;
   private boolean connected;
 
@@ -150,6 +152,7 @@
               .setRouter(self)
               .setConfigurationIndex(configurationIndex)
               .setQuarantineIndex(quarantineIndex)
+              .setEvacuationIndex(evacuationIndex)
               .setRegistryEpoch(registryEpoch)
               .setRegistryChange(registryChange)
               .setDaemonsChange(daemonsChange)
@@ -253,12 +256,17 @@
       }
     }
     registry.expire(now);
-    // The parts are applied first, so that a router that becomes ready refuses them at once.
+    // The configuration is applied last, since the router is ready once it has one.
     if (update.getQuarantineIndex() > quarantineIndex) {
       quarantineIndex = update.getQuarantineIndex();
       listener.quarantineChanged(
           SiteCodec.decodeSuspects(quarantineIndex, update.getSuspectPartsList()));
     }
+    if (update.getEvacuationIndex() > evacuationIndex) {
+      evacuationIndex = update.getEvacuationIndex();
+      listener.evacuationChanged(
+          new EvacuatedZones(evacuationIndex, ImmutableSet.copyOf(update.getEvacuatedZonesList())));
+    }
     if (update.getConfigurationIndex() > configurationIndex) {
       applyConfiguration(update);
     }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -18,6 +18,7 @@
 import org.goldcrestfall.core.quarantine.SuspectPart;
 import org.goldcrestfall.core.registry.UpstreamState;
 import org.goldcrestfall.core.site.DaemonDirectory;
+import org.goldcrestfall.core.site.EvacuatedZones;
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteDaemon;
 import org.goldcrestfall.core.site.SiteState;
@@ -31,6 +32,7 @@
 import org.goldcrestfall.wire.generated.ReportCrashes;
 import org.goldcrestfall.wire.generated.RouterAllotments;
 import org.goldcrestfall.wire.generated.RouterLife;
+import org.goldcrestfall.wire.generated.SetEvacuation;
 import org.goldcrestfall.wire.generated.SiteReply;
 import org.goldcrestfall.wire.generated.SiteSnapshot;
 import org.goldcrestfall.wire.generated.SiteUpdate;
@@ -83,6 +85,8 @@
                           .setService(p.service())
                           .setPart(p.part())));
       out.setCrashes(crashes);
+    } else if (command instanceof SiteCommand.SetEvacuation c) {
+      out.setEvacuation(SetEvacuation.newBuilder().setZone(c.zone()).setEvacuated(c.evacuated()));
     }
     return out.build().toByteArray();
   }
@@ -123,6 +127,9 @@
                 .map(p -> new ServicePart(p.getService(), p.getPart()))
                 .toList(),
             crashes.getSentAt());
+      case EVACUATION:
+        return new SiteCommand.SetEvacuation(
+            decoded.getEvacuation().getZone(), decoded.getEvacuation().getEvacuated());
       default:
         return null;
     }
@@ -215,7 +222,9 @@
     }
     state.crashReports().forEach(r -> out.addCrashReports(encodeCrash(r)));
     out.addAllSuspectParts(encodeSuspects(state.quarantine()))
-        .setQuarantineIndex(state.quarantine().index());
+        .setQuarantineIndex(state.quarantine().index())
+        .addAllEvacuatedZones(state.evacuatedZones().zones())
+        .setEvacuationIndex(state.evacuatedZones().index());
     return out.build().toByteArray();
   }
 
@@ -250,7 +259,9 @@
             decodeTotals(decoded.getTotalsList())),
         routers,
         decoded.getCrashReportsList().stream().map(SiteCodec::decodeCrash).toList(),
-        decodeSuspects(decoded.getQuarantineIndex(), decoded.getSuspectPartsList()));
+        decodeSuspects(decoded.getQuarantineIndex(), decoded.getSuspectPartsList()),
+        new EvacuatedZones(
+            decoded.getEvacuationIndex(), ImmutableSet.copyOf(decoded.getEvacuatedZonesList())));
   }
 
   private static org.goldcrestfall.wire.generated.CrashReport encodeCrash(CrashReport r) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
@@ -22,7 +22,8 @@
 import org.goldcrestfall.core.registry.UpstreamRegistry;
 import org.goldcrestfall.core.registry.UpstreamState;
 import org.goldcrestfall.core.site.DaemonDirectory;
-import org.goldcrestfall.core.site.ReplayedConfigurationFilter;
+import org.goldcrestfall.core.site.EvacuatedZones;
+import org.goldcrestfall.core.site.ReplayProgress;
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteDaemon;
 import org.goldcrestfall.core.site.SiteState;
@@ -81,7 +82,7 @@
   private final MillisClock clock;
   private final UpstreamRegistry registry = new UpstreamRegistry();
   private final long registryEpoch = ThreadLocalRandom.current().nextLong(1, Long.MAX_VALUE);
-  private final ReplayedConfigurationFilter replayFilter = new ReplayedConfigurationFilter();
+  private final ReplayProgress replayProgress = new ReplayProgress();
   private final List<PendingWatch> watches = new ArrayList<>();
   private final DaemonDirectory daemons = new DaemonDirectory();
   private final DaemonDirectory watchingRouters = new DaemonDirectory();
@@ -178,6 +179,27 @@
         .thenApply(d -> d.length == 0 ? d : Compression.decompress(d));
   }
 
+  /**
+   * Evacuates an availability zone or takes its evacuation back; changes nothing if the zone is in
+   * that state already. Completes once the group has committed the command.
+   */
+  public CompletableFuture<Void> setEvacuation(String zone, boolean evacuated) {
+    return controlClient
+        .submit(
+            SiteCodec.encodeCommand(new SiteCommand.SetEvacuation(zone, evacuated)),
+            COMMIT_TIMEOUT_MILLIS)
+        .thenAccept(
+            reply ->
+                logger.atInfo().log(
+                    "site: committed the order that zone %s is %s",
+                    zone, evacuated ? "evacuated" : "in use"));
+  }
+
+  /** Returns the number of evacuated zones. */
+  public int evacuatedZoneCount() {
+    return machine.evacuatedZones().zones().size();
+  }
+
   /**
    * Merges the announcement of an upstream. The future completes with whether the announcement may
    * be acknowledged. An announcement that makes routers stop using the upstream must first have
@@ -323,14 +345,14 @@
     return pending.reply;
   }
 
-  /** Queries which configuration is in force, so that no earlier one is sent to routers. */
+  /** Queries the index of the last change, so that no earlier state is sent to routers. */
   private void catchUp() {
     controlClient
-        .query(SiteStateMachine.READ_CONFIGURATION_INDEX, COMMIT_TIMEOUT_MILLIS)
+        .query(SiteStateMachine.READ_LAST_CHANGE_INDEX, COMMIT_TIMEOUT_MILLIS)
         .whenCompleteAsync(
             (index, failure) -> {
               if (failure == null) {
-                replayFilter.recordConfirmedIndex(Longs.fromByteArray(index));
+                replayProgress.recordConfirmedIndex(Longs.fromByteArray(index));
                 answerWatches();
               } else {
                 loop.schedule(this::catchUp, CATCH_UP_RETRY_MILLIS, TimeUnit.MILLISECONDS);
@@ -341,17 +363,27 @@
 
   /** Returns the configuration that may be sent to routers; none while the log is replayed. */
   private SiteState.StoredConfiguration currentConfiguration() {
-    return replayFilter.filter(machine.configuration());
+    return isReplayed() ? machine.configuration() : SiteState.StoredConfiguration.NONE;
   }
 
   /** Returns the suspect parts that may be sent to routers; none while the log is replayed. */
   private QuarantineView currentQuarantine() {
-    return currentConfiguration().index() == 0 ? QuarantineView.EMPTY : machine.quarantine();
+    return isReplayed() ? machine.quarantine() : QuarantineView.EMPTY;
+  }
+
+  /** Returns the evacuated zones that may be sent to routers; none while the log is replayed. */
+  private EvacuatedZones currentEvacuatedZones() {
+    return isReplayed() ? machine.evacuatedZones() : EvacuatedZones.NONE;
+  }
+
+  private boolean isReplayed() {
+    return replayProgress.isComplete(machine.lastChangeIndex());
   }
 
   private boolean hasChanges(SiteWatch watch) {
     return currentConfiguration().index() > watch.getConfigurationIndex()
         || currentQuarantine().index() > watch.getQuarantineIndex()
+        || currentEvacuatedZones().index() > watch.getEvacuationIndex()
         || watch.getRegistryEpoch() != registryEpoch
         || registry.lastChangeNumber() > watch.getRegistryChange();
   }
@@ -383,6 +415,10 @@
     if (q.index() > watch.getQuarantineIndex()) {
       out.setQuarantineIndex(q.index()).addAllSuspectParts(SiteCodec.encodeSuspects(q));
     }
+    EvacuatedZones z = currentEvacuatedZones();
+    if (z.index() > watch.getEvacuationIndex()) {
+      out.setEvacuationIndex(z.index()).addAllEvacuatedZones(z.zones());
+    }
     DaemonDirectory.Changes changes =
         daemons.changesAfter(sameEpoch ? watch.getDaemonsChange() : 0);
     SiteCodec.encodeDaemons(changes, out);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
@@ -9,13 +9,14 @@
 import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.QuarantineView;
+import org.goldcrestfall.core.site.EvacuatedZones;
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteState;
 import org.goldcrestfall.daemon.control.StateMachine;
 
 /**
- * The site's replicated state machine. The configuration, the suspect parts and the report of
- * prepaid tokens may be read from any thread.
+ * The site's replicated state machine. The configuration, the suspect parts, the evacuated zones
+ * and the report of prepaid tokens may be read from any thread.
  */
 public final class SiteStateMachine implements StateMachine {
 
@@ -24,8 +25,8 @@
   /** Query for the compressed document of the configuration in force. */
   static final byte[] READ_CONFIGURATION_DOCUMENT = new byte[0];
 
-  /** Query for the log index of the configuration in force, as 8 bytes in big-endian order. */
-  static final byte[] READ_CONFIGURATION_INDEX = new byte[1];
+  /** Query for the log index of the last published change, as 8 bytes in big-endian order. */
+  static final byte[] READ_LAST_CHANGE_INDEX = new byte[1];
 
   private static final int LEDGER_REPORT_INTERVAL_MILLIS = 2_000;
 
@@ -41,6 +42,7 @@
       ImmutableMap.of();
   private volatile SiteState.StoredConfiguration configuration = state.configuration();
   private volatile QuarantineView quarantine = state.quarantine();
+  private volatile EvacuatedZones evacuatedZones = state.evacuatedZones();
   private volatile Runnable changeListener = () -> {};
 
   /** Creates the state machine without a configuration. */
@@ -69,8 +71,8 @@
   }
 
   /**
-   * Sets the action that runs on the consensus thread when another configuration is in force or the
-   * suspect parts have changed.
+   * Sets the action that runs on the consensus thread when another configuration is in force, or
+   * the suspect parts or the evacuated zones have changed.
    */
   void onChange(Runnable action) {
     changeListener = action;
@@ -88,6 +90,16 @@
     return quarantine;
   }
 
+  /** Returns the evacuated zones according to the log entries that this member has applied. */
+  EvacuatedZones evacuatedZones() {
+    return evacuatedZones;
+  }
+
+  /** Returns the log index of the last published change that this member has applied. */
+  long lastChangeIndex() {
+    return Longs.max(configuration.index(), quarantine.index(), evacuatedZones.index());
+  }
+
   @Override
   public byte[] stampProposal(byte[] command) {
     long now = clock.nowMillis();
@@ -136,11 +148,18 @@
 
   private void publishChanges() {
     boolean configurationChanged = configuration != state.configuration();
-    if (!configurationChanged && quarantine == state.quarantine()) {
+    boolean evacuationChanged = evacuatedZones != state.evacuatedZones();
+    if (!configurationChanged && !evacuationChanged && quarantine == state.quarantine()) {
       return;
     }
     configuration = state.configuration();
     quarantine = state.quarantine();
+    evacuatedZones = state.evacuatedZones();
+    if (evacuationChanged) {
+      logger.atInfo().log(
+          "site: zones %s are evacuated since index %s",
+          evacuatedZones.zones(), evacuatedZones.index());
+    }
     if (configurationChanged) {
       logger.atInfo().log(
           "site: configuration version %s is in force since index %s",
@@ -153,7 +172,7 @@
   public byte[] query(byte[] query) {
     return query.length == 0
         ? state.configuration().document()
-        : Longs.toByteArray(state.configuration().index());
+        : Longs.toByteArray(lastChangeIndex());
   }
 
   @Override
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -30,6 +30,7 @@
 import org.goldcrestfall.core.gateway.WorkspaceSettings;
 import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.registry.UpstreamEntry;
+import org.goldcrestfall.core.site.EvacuatedZones;
 import org.goldcrestfall.daemon.Await;
 import org.goldcrestfall.daemon.control.ControlReplica;
 import org.goldcrestfall.daemon.control.ControlSettings;
@@ -59,6 +60,7 @@
    * @param versions the versions of the configurations that it has applied, in order
    * @param upstreams the last entry that it received of each upstream, by id
    * @param quarantines the suspect parts that it has applied, in order
+   * @param evacuations the evacuated zones that it has applied, in order
    */
   public record Router(
       NettyPeerTransport transport,
@@ -66,7 +68,8 @@
       PrepaidTokens tokens,
       List<Long> versions,
       Map<String, UpstreamEntry> upstreams,
-      List<QuarantineView> quarantines) {}
+      List<QuarantineView> quarantines,
+      List<EvacuatedZones> evacuations) {}
 
   /** Decodes a document of a version, a workspace and its prepaid tokens, separated by spaces. */
   static final ConfigurationDecoder DECODER =
@@ -161,6 +164,19 @@
     c.replica().close();
   }
 
+  /** Waits for a leader of the control group and returns its host. */
+  String leaderHost() {
+    String[] host = new String[1];
+    await(
+        () -> {
+          controls.values().stream()
+              .filter(c -> c.transport().address().equals(c.replica().status().leaderAddress()))
+              .forEach(c -> host[0] = c.host());
+          return host[0] != null;
+        });
+    return host[0];
+  }
+
   /** Starts a router with the given seed addresses of control daemons. */
   public Router startRouter(Supplier<List<String>> seeds) throws Exception {
     String host = "r" + ++routers;
@@ -168,6 +184,7 @@
         new NettyPeerTransport(settings(host, 0), TransportListener.NONE, eventLoopGroup);
     List<Long> versions = new CopyOnWriteArrayList<>();
     List<QuarantineView> quarantines = new CopyOnWriteArrayList<>();
+    List<EvacuatedZones> evacuations = new CopyOnWriteArrayList<>();
     Map<String, UpstreamEntry> upstreams = new ConcurrentHashMap<>();
     PrepaidTokens[] tokens = new PrepaidTokens[1];
     SiteListener listener =
@@ -190,6 +207,11 @@
           public void quarantineChanged(QuarantineView view) {
             quarantines.add(view);
           }
+
+          @Override
+          public void evacuationChanged(EvacuatedZones zones) {
+            evacuations.add(zones);
+          }
         };
     DaemonEntry self =
         DaemonEntry.newBuilder()
@@ -209,7 +231,7 @@
             clock);
     tokens[0].start();
     site.start();
-    return new Router(transport, site, tokens[0], versions, upstreams, quarantines);
+    return new Router(transport, site, tokens[0], versions, upstreams, quarantines, evacuations);
   }
 
   /** Returns the event loop on which all daemons run. */
@@ -246,6 +268,19 @@
         });
   }
 
+  /** Orders an evacuation or its end, and retries until the order is acknowledged. */
+  void setEvacuation(String host, String zone, boolean evacuated) {
+    await(
+        () -> {
+          try {
+            call(() -> controls.get(host).site().setEvacuation(zone, evacuated));
+            return true;
+          } catch (Exception e) {
+            return false;
+          }
+        });
+  }
+
   /** Waits until a condition holds; fails after the timeout. */
   public static void await(BooleanSupplier condition) {
     Await.await(condition, TIMEOUT_SECONDS);
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
@@ -1,12 +1,14 @@
 package org.goldcrestfall.daemon.site;
 
 import static java.nio.charset.StandardCharsets.UTF_8;
+import static java.util.Comparator.comparingLong;
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.goldcrestfall.core.common.MillisClock;
@@ -17,6 +19,7 @@
 import org.goldcrestfall.core.quarantine.ServicePart;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamState;
+import org.goldcrestfall.core.site.EvacuatedZones;
 import org.goldcrestfall.daemon.site.PrepaidTokens.Outcome;
 import org.goldcrestfall.daemon.site.SiteFixture.Router;
 
@@ -57,6 +60,34 @@
     assertThat(new String(read, UTF_8)).isEqualTo("5 w 2000");
   }
 
+  /** Guards against an acknowledged evacuation that a new leader, a restart or a repeat undoes. */
+  @Example
+  void evacuationOutlivesItsLeaderAndTheRestartOfAllControlDaemons() throws Exception {
+    open(3);
+    Router early = site.startRouter(site::addresses);
+    site.put("c0", "1 w 1000");
+    site.setEvacuation("c0", "z1", true);
+    site.setEvacuation("c1", "z2", true);
+    String leader = site.leaderHost();
+    site.stopControl(leader);
+    site.setEvacuation(site.controls.keySet().iterator().next(), "z2", false);
+    SiteFixture.await(() -> lastZones(early).equals(Set.of("z1")));
+    List.copyOf(site.controls.keySet()).forEach(site::stopControl);
+    for (int i = 0; i < 3; i++) {
+      site.startControl(i, false);
+    }
+    Router late = site.startRouter(site::addresses);
+    SiteFixture.await(() -> !late.versions().isEmpty());
+    assertThat(late.evacuations()).hasSize(1);
+    assertThat(lastZones(late)).containsExactly("z1");
+    assertThat(early.evacuations()).isSortedAccordingTo(comparingLong(EvacuatedZones::index));
+  }
+
+  private static Set<String> lastZones(Router router) {
+    List<EvacuatedZones> applied = router.evacuations();
+    return applied.isEmpty() ? Set.of() : applied.get(applied.size() - 1).zones();
+  }
+
   @Example
   void invalidConfigurationIsRefusedAndChangesNothing() throws Exception {
     open(1);
