Limit what all routers send to upstreams that warm up

An upstream that has just started crashes under many requests, and a zone that comes back empty looks best to all routers at once. Nothing kept the rate that services state for such upstreams. Each router now has a number from the control group, and the numbers say which routers may send to an upstream while it warms up, each of them once in a second. So the bound holds without a message, also while all routers are cut off from the control daemons. Registries pass on that an upstream warms up anew, and what is left of it.

--- a/core/src/main/java/org/goldcrestfall/core/registry/UpstreamEntry.java
+++ b/core/src/main/java/org/goldcrestfall/core/registry/UpstreamEntry.java
@@ -10,7 +10,7 @@
  * @param startedAtMillis the start time by the upstream's wall clock; a later start is a new
  *     incarnation
  * @param sequence the sequence number, which increases with each announcement of an incarnation
- * @param warmupMillis the remaining time for which the upstream is slow after its start
+ * @param warmupMillis the remaining time for which the upstream warms up
  */
 public record UpstreamEntry(
     String id,
@@ -43,6 +43,12 @@
         warmupMillis);
   }
 
+  /** Returns this entry with another remaining time of the warm-up. */
+  UpstreamEntry withWarmupMillis(int remainingMillis) {
+    return new UpstreamEntry(
+        id, service, address, zone, state, slots, startedAtMillis, sequence, remainingMillis);
+  }
+
   /** Returns whether this announcement supersedes another one with the same id. */
   public boolean isNewerThan(UpstreamEntry other) {
     if (startedAtMillis != other.startedAtMillis) {
--- a/core/src/main/java/org/goldcrestfall/core/registry/UpstreamRegistry.java
+++ b/core/src/main/java/org/goldcrestfall/core/registry/UpstreamRegistry.java
@@ -20,8 +20,15 @@
    */
   static final long TOMBSTONE_TTL_MILLIS = 120_000;
 
+  /**
+   * A warm-up that ends later than known by up to this time is no change. Announcements arrive with
+   * varying delays.
+   */
+  static final long WARMUP_TOLERANCE_MILLIS = 250;
+
   private static final class TrackedUpstream {
     UpstreamEntry entry;
+    long warmupEndMillis = Long.MIN_VALUE / 2;
     long changeNumber;
     long updatedAtMillis;
   }
@@ -36,11 +43,16 @@
     if (upstream != null && !entry.isNewerThan(upstream.entry)) {
       return false;
     }
-    final boolean differs = upstream == null || entry.differsFrom(upstream.entry);
+    boolean differs = upstream == null || entry.differsFrom(upstream.entry);
     if (upstream == null) {
       upstream = new TrackedUpstream();
       upstreams.put(entry.id(), upstream);
     }
+    long warmupEndMillis = nowMillis + entry.warmupMillis();
+    differs |=
+        entry.warmupMillis() > 0
+            && warmupEndMillis > upstream.warmupEndMillis + WARMUP_TOLERANCE_MILLIS;
+    upstream.warmupEndMillis = warmupEndMillis;
     upstream.entry = entry;
     upstream.updatedAtMillis = nowMillis;
     if (!differs) {
@@ -110,12 +122,15 @@
     return lastChangeNumber;
   }
 
-  /** Returns the entries that changed after the change with this number. */
-  public List<UpstreamEntry> changesAfter(long number) {
+  /**
+   * Returns the entries that changed after the change with this number, with the time for which the
+   * upstreams still warm up.
+   */
+  public List<UpstreamEntry> changesAfter(long number, long nowMillis) {
     List<UpstreamEntry> changes = new ArrayList<>();
     for (TrackedUpstream u : upstreams.values()) {
       if (u.changeNumber > number) {
-        changes.add(u.entry);
+        changes.add(u.entry.withWarmupMillis((int) Math.max(0, u.warmupEndMillis - nowMillis)));
       }
     }
     return changes;
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
@@ -42,6 +42,9 @@
   record ReportCrashes(List<CrashReport> lost, List<ServicePart> answered, long sentAtMillis)
       implements SiteCommand {}
 
+  /** Gives a host that runs a router a number, unless it has one. */
+  record RegisterRouter(String host) implements SiteCommand {}
+
   /** Evacuates an availability zone, or takes its evacuation back. */
   record SetEvacuation(String zone, boolean evacuated) implements SiteCommand {}
 }
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
@@ -8,6 +8,7 @@
 import org.goldcrestfall.core.quarantine.CrashReport;
 import org.goldcrestfall.core.quarantine.PartQuarantine;
 import org.goldcrestfall.core.quarantine.QuarantineView;
+import org.goldcrestfall.core.warmup.RouterNumbers;
 
 /** The replicated state machine of a site. It is deterministic and not thread-safe. */
 public final class SiteState {
@@ -46,6 +47,7 @@
   private StoredConfiguration configuration = StoredConfiguration.NONE;
   private QuarantineView quarantineView = QuarantineView.EMPTY;
   private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
+  private RouterNumbers routerNumbers = RouterNumbers.NONE;
 
   /** Applies the command at a log index and returns the reply. */
   public Reply apply(long index, SiteCommand command) {
@@ -66,6 +68,10 @@
       evacuatedZones = evacuatedZones.after(index, c);
       return Reply.ofVersion(configuration.version());
     }
+    if (command instanceof SiteCommand.RegisterRouter c) {
+      routerNumbers = routerNumbers.with(index, c.host());
+      return Reply.ofVersion(configuration.version());
+    }
     SiteCommand.RenewAllotments c = (SiteCommand.RenewAllotments) command;
     List<PrepaidLedger.Allotment> allotments =
         ledger.renew(c.router(), c.number(), c.times(), c.demands(), c.proposedAt());
@@ -87,6 +93,11 @@
     return evacuatedZones;
   }
 
+  /** Returns the numbers of all registered routers. */
+  public RouterNumbers routerNumbers() {
+    return routerNumbers;
+  }
+
   /** Returns the reports of lost requests, for a snapshot. */
   public List<CrashReport> crashReports() {
     return quarantine.reports();
@@ -120,12 +131,14 @@
       List<PrepaidLedger.IncarnationTotals> allotments,
       List<CrashReport> crashReports,
       QuarantineView suspects,
-      EvacuatedZones evacuated) {
+      EvacuatedZones evacuated,
+      RouterNumbers numbers) {
     configuration = stored;
     ledger.setTotals(stored.totals());
     ledger.restore(allotments);
     quarantine.restore(crashReports, suspects.parts().values().asList());
     quarantineView = suspects;
     evacuatedZones = evacuated;
+    routerNumbers = numbers;
   }
 }
--- a/core/src/test/java/org/goldcrestfall/core/gateway/GatewayConfigurationTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/gateway/GatewayConfigurationTest.java
@@ -16,8 +16,8 @@
 
   private static final Map<String, ServiceSettings> SERVICES =
       Map.of(
-          "a", new ServiceSettings("a", 10, Optional.empty()),
-          "b", new ServiceSettings("b", 10, Optional.empty()));
+          "a", new ServiceSettings("a", 10, Optional.empty(), Optional.empty()),
+          "b", new ServiceSettings("b", 10, Optional.empty(), Optional.empty()));
 
   private static Route route(String host, String prefix, int timeout, WeightedService... split) {
     return new Route(
--- a/core/src/test/java/org/goldcrestfall/core/registry/UpstreamRegistryTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/registry/UpstreamRegistryTest.java
@@ -63,7 +63,25 @@
     final long change = r.lastChangeNumber();
     assertThat(r.merge(entry("a", "1:1", UpstreamState.READY, 10, 6), 1)).isFalse();
     assertThat(r.lastChangeNumber()).isEqualTo(change);
-    assertThat(r.changesAfter(change)).isEmpty();
+    assertThat(r.changesAfter(change, 1)).isEmpty();
+  }
+
+  private static UpstreamEntry warming(long sequence, int warmupMillis) {
+    return new UpstreamEntry(
+        "a", "s", "1:1", "z", UpstreamState.READY, 4, 10, sequence, warmupMillis);
+  }
+
+  /** Guards against routers that do not learn that an upstream warms up anew. */
+  @Example
+  void laterEndOfTheWarmupIsChangeAndWhatIsLeftOfItIsPassedOn() {
+    UpstreamRegistry r = new UpstreamRegistry();
+    r.merge(warming(1, 3_000), 0);
+    assertThat(r.merge(warming(2, 1_900), 1_200)).isFalse();
+    assertThat(r.changesAfter(0, 2_000).get(0).warmupMillis()).isEqualTo(1_100);
+    assertThat(r.merge(warming(3, 0), 3_600)).isFalse();
+    assertThat(r.merge(warming(4, 2_500), 4_800)).isTrue();
+    assertThat(r.merge(warming(3, 9_000), 4_900)).isFalse();
+    assertThat(r.changesAfter(0, 9_000).get(0).warmupMillis()).isZero();
   }
 
   /** Guards against control daemons that never agree on the state of an upstream. */
--- a/core/src/test/java/org/goldcrestfall/core/site/EvacuatedZonesTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/EvacuatedZonesTest.java
@@ -59,7 +59,8 @@
             state.allotments(),
             state.crashReports(),
             state.quarantine(),
-            state.evacuatedZones());
+            state.evacuatedZones(),
+            state.routerNumbers());
         state = restored;
       }
     }
--- a/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
@@ -67,7 +67,8 @@
         state.allotments(),
         state.crashReports(),
         state.quarantine(),
-        state.evacuatedZones());
+        state.evacuatedZones(),
+        state.routerNumbers());
     var reply =
         restored.apply(3, new SiteCommand.RenewAllotments("r", 1, TIMES, demand, LeaderTime.NONE));
     assertThat(reply.allotments().get(0).grantedTotal()).isEqualTo(20);
@@ -89,7 +90,8 @@
         state.allotments(),
         state.crashReports(),
         state.quarantine(),
-        state.evacuatedZones());
+        state.evacuatedZones(),
+        state.routerNumbers());
     assertThat(restored.quarantine()).isEqualTo(state.quarantine());
     state.apply(6, crash("u6", 6_000, "other"));
     restored.apply(6, crash("u6", 6_000, "other"));
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -231,6 +231,7 @@
     for (Upstream u : ready.values()) {
       if (!triedUpstreams.contains(u.entry().id())
           && !gateway.isEvacuated(u.entry().zone())
+          && gateway.warmupLimiter().maySend(u, now)
           && mayBeGranted(u, now)
           && (!u.idleConnections().isEmpty() || u.openConnections() < limit)) {
         candidates.add(u.load());
@@ -276,7 +277,12 @@
             .filter(u -> u.load().limit().isLimited())
             .mapToLong(u -> u.load().limitedMillis(gateway.now()))
             .min();
-    if (limitedMillis.isPresent()) {
+    if (ready.stream().anyMatch(u -> !gateway.warmupLimiter().maySend(u, gateway.now()))) {
+      refuse(
+          ErrorKind.OVERLOADED,
+          "The upstreams of the service have just started.",
+          jitteredRetryAfterMillis());
+    } else if (limitedMillis.isPresent()) {
       refuse(
           ErrorKind.OVERLOADED,
           "The upstreams take no more requests now.",
@@ -305,7 +311,8 @@
       connection.close();
       return;
     }
-    if (gateway.isEvacuated(upstream.entry().zone())) {
+    if (gateway.isEvacuated(upstream.entry().zone())
+        || !gateway.warmupLimiter().trySend(upstream, gateway.now())) {
       gateway.upstreams().release(connection);
       dispatch(retryReason);
       return;
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
@@ -14,6 +15,8 @@
 import org.goldcrestfall.core.gateway.ClientLimits;
 import org.goldcrestfall.core.gateway.DrainSchedule;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
+import org.goldcrestfall.core.gateway.ServiceSettings;
+import org.goldcrestfall.core.gateway.WarmupSettings;
 import org.goldcrestfall.core.limit.HeldBytes;
 import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.registry.UpstreamEntry;
@@ -23,6 +26,7 @@
 import org.goldcrestfall.daemon.site.CrashReporter;
 import org.goldcrestfall.daemon.site.PermitClient;
 import org.goldcrestfall.daemon.site.PrepaidTokens;
+import org.goldcrestfall.daemon.site.RouterRegistration;
 import org.goldcrestfall.daemon.site.SiteClient;
 import org.goldcrestfall.daemon.site.SiteListener;
 import org.goldcrestfall.wire.PeerTransport;
@@ -56,6 +60,8 @@
   private LoadSynchronizer loadSynchronizer;
   private PromptQuarantine quarantine;
   private UpstreamRateLimiter rateLimiter;
+  private WarmupLimiter warmupLimiter;
+  private RouterRegistration registration;
   private GatewayConfiguration configuration;
   private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
   private long bufferedBytes;
@@ -95,6 +101,12 @@
         new PromptQuarantine(upstreams, new CrashReporter(siteClient, transport, loop, clock));
     rateLimiter =
         new UpstreamRateLimiter(new PermitClient(siteClient, transport, loop, clock), loop, clock);
+    warmupLimiter = new WarmupLimiter(siteClient, this::warmupSettings, metrics);
+    registration = new RouterRegistration(siteClient, transport, loop, clock);
+    metrics.gauge(
+        "warming_upstreams",
+        "Upstreams that have just started, or may have restarted unseen",
+        () -> upstreams.all().stream().filter(u -> u.warmup().isWarmingUp(now())).count());
     metrics.gauge(
         "limited_upstreams",
         "Upstreams that state a rate limit",
@@ -124,6 +136,7 @@
   public void configurationChanged(GatewayConfiguration next) {
     configuration = next;
     prepaid.configure(next);
+    registration.setNeeded(next.services().values().stream().anyMatch(s -> s.warmup().isPresent()));
   }
 
   @Override
@@ -138,11 +151,22 @@
 
   @Override
   public void evacuationChanged(EvacuatedZones next) {
+    warmupLimiter.onEvacuationChanged(evacuatedZones, next, upstreams.all(), now());
     evacuatedZones = next;
     logger.atInfo().log(
         "evacuation: zones %s get no new requests since index %s", next.zones(), next.index());
   }
 
+  private Optional<WarmupSettings> warmupSettings(String service) {
+    return Optional.ofNullable(configuration)
+        .flatMap(c -> Optional.ofNullable(c.services().get(service)))
+        .flatMap(ServiceSettings::warmup);
+  }
+
+  WarmupLimiter warmupLimiter() {
+    return warmupLimiter;
+  }
+
   /** Returns whether the upstreams of an availability zone get no new requests. */
   boolean isEvacuated(String zone) {
     return evacuatedZones.contains(zone);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayMetrics.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/GatewayMetrics.java
@@ -30,6 +30,12 @@
           .help("Sends after the first one of a request, by reason")
           .labelNames("reason")
           .register(registry);
+  private final Counter warmupSends =
+      Counter.builder()
+          .name(PREFIX + "warmup_sends")
+          .help("Requests chosen for upstreams that warm up, by what became of them")
+          .labelNames("outcome")
+          .register(registry);
   private final Histogram firstByteSeconds =
       Histogram.builder()
           .name(PREFIX + "first_byte_seconds")
@@ -49,6 +55,11 @@
     retries.labelValues(reason).inc();
   }
 
+  /** Counts a request for an upstream that warms up by its outcome, sent or held_back. */
+  void recordWarmup(String outcome) {
+    warmupSends.labelValues(outcome).inc();
+  }
+
   /** Records the time to the first byte of a response. */
   void recordFirstByte(String kind, long millis) {
     firstByteSeconds.labelValues(kind).observe(millis / 1_000.0);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Upstream.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Upstream.java
@@ -5,17 +5,25 @@
 import org.goldcrestfall.core.dispatch.UpstreamLoad;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamState;
+import org.goldcrestfall.core.warmup.UpstreamWarmup;
 
 /** One incarnation of an upstream: its registry entry, load and connections from this router. */
 final class Upstream {
 
   private final UpstreamLoad load;
+  private final UpstreamWarmup warmup;
   private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
   private UpstreamEntry entry;
   private int openConnections;
 
-  Upstream(UpstreamEntry entry, long nowMillis) {
+  /**
+   * Creates an upstream without connections.
+   *
+   * @param processStartedAtMillis the start of this router process
+   */
+  Upstream(UpstreamEntry entry, long processStartedAtMillis, long nowMillis) {
     this.entry = entry;
+    warmup = new UpstreamWarmup(processStartedAtMillis);
     load = new UpstreamLoad(entry.id(), entry.zone(), entry.slots(), nowMillis);
   }
 
@@ -35,6 +43,15 @@
     return load;
   }
 
+  UpstreamWarmup warmup() {
+    return warmup;
+  }
+
+  /** Returns a name that is never used again for another incarnation. */
+  String incarnation() {
+    return entry.id() + "#" + entry.startedAtMillis();
+  }
+
   Deque<UpstreamConnection> idleConnections() {
     return idleConnections;
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
@@ -32,6 +32,7 @@
   private final EventLoop loop;
   private final MillisClock clock;
   private final GatewayHeaderNames headerNames;
+  private final long startedAtMillis;
   private final Map<String, Upstream> upstreams = new HashMap<>();
   private final Map<String, Map<String, Upstream>> byService = new HashMap<>();
 
@@ -39,6 +40,7 @@
     this.loop = loop;
     this.clock = clock;
     this.headerNames = headerNames;
+    startedAtMillis = clock.nowMillis();
   }
 
   long now() {
@@ -66,11 +68,12 @@
       upstream.update(entry);
     } else {
       remove(entry.id());
-      upstream = new Upstream(entry, now());
+      upstream = new Upstream(entry, startedAtMillis, now());
     }
+    upstream.warmup().extend(entry.warmupMillis(), now());
     logger.atInfo().log(
-        "upstream: %s of service %s at %s is %s",
-        entry.id(), entry.service(), entry.address(), entry.state());
+        "upstream: %s of service %s at %s is %s and warms up for %s ms",
+        entry.id(), entry.service(), entry.address(), entry.state(), entry.warmupMillis());
     if (upstream.isReady()) {
       upstreams.put(entry.id(), upstream);
       byService.computeIfAbsent(entry.service(), s -> new HashMap<>()).put(entry.id(), upstream);
@@ -142,6 +145,7 @@
             return;
           }
           upstream.onConnectionClosed(connection);
+          upstream.warmup().onConnectFailed();
           logger.atInfo().log(
               "upstream: cannot connect to %s at %s: %s",
               upstream.entry().id(), address, f.cause().getMessage());
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
@@ -16,6 +16,7 @@
 import org.goldcrestfall.core.site.DaemonView;
 import org.goldcrestfall.core.site.EvacuatedZones;
 import org.goldcrestfall.core.site.SiteDaemon;
+import org.goldcrestfall.core.warmup.RouterPosition;
 import org.goldcrestfall.wire.PeerTransport;
 import org.goldcrestfall.wire.generated.Body;
 import org.goldcrestfall.wire.generated.DaemonEntry;
@@ -56,6 +57,7 @@
   private long configurationIndex;
   private long quarantineIndex;
   private long evacuationIndex;
+  private RouterPosition position = RouterPosition.NONE;
   private long lastContactAtMillis = Long.MIN_VALUE / 2;
   private boolean connected;
 
@@ -121,6 +123,16 @@
     return Math.max(1, daemons.routers().size());
   }
 
+  /** Returns the name of the host of this router. */
+  public String host() {
+    return self.getHost();
+  }
+
+  /** Returns the place of this router among all that have registered. */
+  public RouterPosition position() {
+    return position;
+  }
+
   /** Returns the time since a control daemon that has a leader last answered. */
   public long contactAgeMillis() {
     return clock.nowMillis() - lastContactAtMillis;
@@ -252,7 +264,7 @@
       UpstreamEntry entry = SiteCodec.decodeEntry(e);
       long before = registry.lastChangeNumber();
       if (registry.merge(entry, now)) {
-        registry.changesAfter(before).forEach(this::publishSafely);
+        registry.changesAfter(before, now).forEach(this::publishSafely);
       }
     }
     registry.expire(now);
@@ -262,6 +274,11 @@
       listener.quarantineChanged(
           SiteCodec.decodeSuspects(quarantineIndex, update.getSuspectPartsList()));
     }
+    if (update.getRouterNumber() > 0) {
+      position =
+          position.merge(
+              new RouterPosition(update.getRouterNumber() - 1, update.getRegisteredRouters()));
+    }
     if (update.getEvacuationIndex() > evacuationIndex) {
       evacuationIndex = update.getEvacuationIndex();
       listener.evacuationChanged(
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -22,12 +22,14 @@
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteDaemon;
 import org.goldcrestfall.core.site.SiteState;
+import org.goldcrestfall.core.warmup.RouterNumbers;
 import org.goldcrestfall.wire.generated.AllotmentDemand;
 import org.goldcrestfall.wire.generated.AllotmentState;
 import org.goldcrestfall.wire.generated.AllotmentSums;
 import org.goldcrestfall.wire.generated.DaemonEntry;
 import org.goldcrestfall.wire.generated.PrepaidTotal;
 import org.goldcrestfall.wire.generated.PutConfiguration;
+import org.goldcrestfall.wire.generated.RegisterRouter;
 import org.goldcrestfall.wire.generated.RenewAllotments;
 import org.goldcrestfall.wire.generated.ReportCrashes;
 import org.goldcrestfall.wire.generated.RouterAllotments;
@@ -85,6 +87,8 @@
                           .setService(p.service())
                           .setPart(p.part())));
       out.setCrashes(crashes);
+    } else if (command instanceof SiteCommand.RegisterRouter c) {
+      out.setRegistration(RegisterRouter.newBuilder().setHost(c.host()));
     } else if (command instanceof SiteCommand.SetEvacuation c) {
       out.setEvacuation(SetEvacuation.newBuilder().setZone(c.zone()).setEvacuated(c.evacuated()));
     }
@@ -127,6 +131,8 @@
                 .map(p -> new ServicePart(p.getService(), p.getPart()))
                 .toList(),
             crashes.getSentAt());
+      case REGISTRATION:
+        return new SiteCommand.RegisterRouter(decoded.getRegistration().getHost());
       case EVACUATION:
         return new SiteCommand.SetEvacuation(
             decoded.getEvacuation().getZone(), decoded.getEvacuation().getEvacuated());
@@ -224,7 +230,10 @@
     out.addAllSuspectParts(encodeSuspects(state.quarantine()))
         .setQuarantineIndex(state.quarantine().index())
         .addAllEvacuatedZones(state.evacuatedZones().zones())
-        .setEvacuationIndex(state.evacuatedZones().index());
+        .setEvacuationIndex(state.evacuatedZones().index())
+        // The map keeps the order of registration, which is that of the numbers.
+        .addAllRegisteredHosts(state.routerNumbers().byHost().keySet())
+        .setRegistrationIndex(state.routerNumbers().index());
     return out.build().toByteArray();
   }
 
@@ -261,7 +270,16 @@
         decoded.getCrashReportsList().stream().map(SiteCodec::decodeCrash).toList(),
         decodeSuspects(decoded.getQuarantineIndex(), decoded.getSuspectPartsList()),
         new EvacuatedZones(
-            decoded.getEvacuationIndex(), ImmutableSet.copyOf(decoded.getEvacuatedZonesList())));
+            decoded.getEvacuationIndex(), ImmutableSet.copyOf(decoded.getEvacuatedZonesList())),
+        decodeNumbers(decoded.getRegistrationIndex(), decoded.getRegisteredHostsList()));
+  }
+
+  private static RouterNumbers decodeNumbers(long index, List<String> hosts) {
+    RouterNumbers numbers = RouterNumbers.NONE;
+    for (String host : hosts) {
+      numbers = numbers.with(index, host);
+    }
+    return numbers;
   }
 
   private static org.goldcrestfall.wire.generated.CrashReport encodeCrash(CrashReport r) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
@@ -27,6 +27,7 @@
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteDaemon;
 import org.goldcrestfall.core.site.SiteState;
+import org.goldcrestfall.core.warmup.RouterPosition;
 import org.goldcrestfall.daemon.PeriodicTasks;
 import org.goldcrestfall.daemon.control.ControlClient;
 import org.goldcrestfall.daemon.control.ControlReplica;
@@ -405,7 +406,7 @@
             .setRegistryChange(registry.lastChangeNumber())
             .setHasLeader(!replica.status().leaderAddress().isEmpty());
     registry
-        .changesAfter(sameEpoch ? watch.getRegistryChange() : 0)
+        .changesAfter(sameEpoch ? watch.getRegistryChange() : 0, clock.nowMillis())
         .forEach(e -> out.addUpstreams(SiteCodec.encodeEntry(e)));
     SiteState.StoredConfiguration c = currentConfiguration();
     if (c.index() > watch.getConfigurationIndex()) {
@@ -419,6 +420,13 @@
     if (z.index() > watch.getEvacuationIndex()) {
       out.setEvacuationIndex(z.index()).addAllEvacuatedZones(z.zones());
     }
+    RouterPosition position =
+        isReplayed()
+            ? machine.routerNumbers().positionOf(watch.getRouter().getHost())
+            : RouterPosition.NONE;
+    if (position.routers() > 0) {
+      out.setRouterNumber(position.number() + 1).setRegisteredRouters(position.routers());
+    }
     DaemonDirectory.Changes changes =
         daemons.changesAfter(sameEpoch ? watch.getDaemonsChange() : 0);
     SiteCodec.encodeDaemons(changes, out);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
@@ -12,6 +12,7 @@
 import org.goldcrestfall.core.site.EvacuatedZones;
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.core.site.SiteState;
+import org.goldcrestfall.core.warmup.RouterNumbers;
 import org.goldcrestfall.daemon.control.StateMachine;
 
 /**
@@ -43,6 +44,7 @@
   private volatile SiteState.StoredConfiguration configuration = state.configuration();
   private volatile QuarantineView quarantine = state.quarantine();
   private volatile EvacuatedZones evacuatedZones = state.evacuatedZones();
+  private volatile RouterNumbers routerNumbers = state.routerNumbers();
   private volatile Runnable changeListener = () -> {};
 
   /** Creates the state machine without a configuration. */
@@ -95,9 +97,15 @@
     return evacuatedZones;
   }
 
+  /** Returns the routers' numbers according to the log entries that this member has applied. */
+  RouterNumbers routerNumbers() {
+    return routerNumbers;
+  }
+
   /** Returns the log index of the last published change that this member has applied. */
   long lastChangeIndex() {
-    return Longs.max(configuration.index(), quarantine.index(), evacuatedZones.index());
+    return Longs.max(
+        configuration.index(), quarantine.index(), evacuatedZones.index(), routerNumbers.index());
   }
 
   @Override
@@ -147,6 +155,8 @@
   }
 
   private void publishChanges() {
+    // Routers get their numbers with their next watch, so this alone answers none.
+    routerNumbers = state.routerNumbers();
     boolean configurationChanged = configuration != state.configuration();
     boolean evacuationChanged = evacuatedZones != state.evacuatedZones();
     if (!configurationChanged && !evacuationChanged && quarantine == state.quarantine()) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/FailingHandlerTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/FailingHandlerTest.java
@@ -64,7 +64,7 @@
         new GatewayConfiguration(
             1,
             List.of(route("/safe/", RouteKind.SAFE, 3_000, 1, false)),
-            Map.of("s", new ServiceSettings("s", 100, Optional.empty())),
+            Map.of("s", new ServiceSettings("s", 100, Optional.empty(), Optional.empty())),
             limits,
             List.of());
     fixture.runOnLoop(() -> fixture.gateway.configurationChanged(configuration));
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -158,7 +158,7 @@
         new GatewayConfiguration(
             1,
             List.of(routes),
-            Map.of("s", new ServiceSettings("s", 100, Optional.empty())),
+            Map.of("s", new ServiceSettings("s", 100, Optional.empty(), Optional.empty())),
             ClientLimits.DEFAULT,
             List.of(workspace));
     runOnLoop(() -> gateway.configurationChanged(configuration));
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -179,7 +179,11 @@
 
   /** Starts a router with the given seed addresses of control daemons. */
   public Router startRouter(Supplier<List<String>> seeds) throws Exception {
-    String host = "r" + ++routers;
+    return startRouter("r" + ++routers, seeds);
+  }
+
+  /** Starts a router on a host with the given seed addresses of control daemons. */
+  Router startRouter(String host, Supplier<List<String>> seeds) throws Exception {
     NettyPeerTransport transport =
         new NettyPeerTransport(settings(host, 0), TransportListener.NONE, eventLoopGroup);
     List<Long> versions = new CopyOnWriteArrayList<>();
@@ -234,6 +238,11 @@
     return new Router(transport, site, tokens[0], versions, upstreams, quarantines, evacuations);
   }
 
+  /** Creates the registration of a router. */
+  RouterRegistration register(Router router) {
+    return new RouterRegistration(router.site(), router.transport(), loop, clock);
+  }
+
   /** Returns the event loop on which all daemons run. */
   public EventLoop loop() {
     return loop;
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
@@ -20,6 +20,7 @@
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamState;
 import org.goldcrestfall.core.site.EvacuatedZones;
+import org.goldcrestfall.core.warmup.RouterPosition;
 import org.goldcrestfall.daemon.site.PrepaidTokens.Outcome;
 import org.goldcrestfall.daemon.site.SiteFixture.Router;
 
@@ -83,6 +84,30 @@
     assertThat(early.evacuations()).isSortedAccordingTo(comparingLong(EvacuatedZones::index));
   }
 
+  /** Guards against routers that get the number of another one, or a new one after a restart. */
+  @Example
+  void registeredRoutersKeepTheirNumbersOverRestarts() throws Exception {
+    open(3);
+    site.put("c0", "1 w 1000");
+    Router first = site.startRouter(site::addresses);
+    Router second = site.startRouter(site::addresses);
+    assertThat(first.site().position()).isEqualTo(RouterPosition.NONE);
+    for (Router r : List.of(first, second)) {
+      site.run(() -> site.register(r).setNeeded(true));
+    }
+    SiteFixture.await(() -> first.site().position().routers() == 2);
+    SiteFixture.await(() -> second.site().position().routers() == 2);
+    RouterPosition before = first.site().position();
+    assertThat(second.site().position().number()).isEqualTo(1 - before.number());
+    List.copyOf(site.controls.keySet()).forEach(site::stopControl);
+    for (int i = 0; i < 3; i++) {
+      site.startControl(i, false);
+    }
+    Router again = site.startRouter("r1", site::addresses);
+    SiteFixture.await(() -> again.site().position().routers() == 2);
+    assertThat(again.site().position()).isEqualTo(before);
+  }
+
   private static Set<String> lastZones(Router router) {
     List<EvacuatedZones> applied = router.evacuations();
     return applied.isEmpty() ? Set.of() : applied.get(applied.size() - 1).zones();
