--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
@@ -65,7 +65,7 @@
   @Example
   void evacuationOutlivesItsLeaderAndTheRestartOfAllControlDaemons() throws Exception {
     open(3);
-    Router early = site.startRouter(site::addresses);
+    final Router early = site.startRouter(site::addresses);
     site.put("c0", "1 w 1000");
     site.setEvacuation("c0", "z1", true);
     site.setEvacuation("c1", "z2", true);
