Pass on upstreams that announce themselves together in one answer

At a start of the site each announcement was passed on by itself: 63 upstreams, 69 routers and 2 watches make 8,700 answers within a second, each of which costs a router some milliseconds of cold code. News of ready upstreams now waits for 60 ms; departures, drains, configurations and evacuations go out at once.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
@@ -60,6 +60,13 @@
   /** Limit of the wait time that a router requests for its watch. */
   private static final int MAX_WATCH_WAIT_MILLIS = 2_000;
 
+  /**
+   * Delay of the news of upstreams that are ready. At a start of the site, all upstreams announce
+   * themselves within about a second, and each answer to a watch costs a router the more, the less
+   * of its code is compiled yet.
+   */
+  private static final long READY_NEWS_DELAY_MILLIS = 60;
+
   /** Delay between attempts to query the index of the newest configuration after a start. */
   private static final long CATCH_UP_RETRY_MILLIS = 100;
 
@@ -88,6 +95,7 @@
   private final DaemonDirectory daemons = new DaemonDirectory();
   private final DaemonDirectory watchingRouters = new DaemonDirectory();
   private boolean registryCopied;
+  private boolean answerScheduled;
 
   /** Creates the service; {@link #start} makes it accept calls. */
   public SiteControl(
@@ -213,9 +221,13 @@
       logger.atInfo().log(
           "site: upstream %s of %s at %s is %s, sequence %s",
           entry.id(), entry.service(), entry.address(), entry.state(), entry.sequence());
-      answerWatches();
     }
     boolean leaving = entry.state() != UpstreamState.READY;
+    if (changed && leaving) {
+      answerWatches();
+    } else if (changed) {
+      answerWatchesSoon();
+    }
     if (!leaving || before != null && !changed && before.state() != UpstreamState.READY) {
       broadcast(entry);
       return CompletableFuture.completedFuture(true);
@@ -273,11 +285,18 @@
   private CompletableFuture<Body> handleNotice(UpstreamNotice notice) {
     long now = clock.nowMillis();
     boolean changed = false;
+    boolean leaving = false;
     for (var e : notice.getUpstreamsList()) {
-      changed |= registry.merge(SiteCodec.decodeEntry(e), now);
+      UpstreamEntry entry = SiteCodec.decodeEntry(e);
+      if (registry.merge(entry, now)) {
+        changed = true;
+        leaving |= entry.state() != UpstreamState.READY;
+      }
     }
-    if (changed) {
+    if (leaving) {
       answerWatches();
+    } else if (changed) {
+      answerWatchesSoon();
     }
     if (!notice.getControl().getAddress().isEmpty()) {
       daemons.recordSeen(SiteCodec.decodeDaemon(notice.getControl(), true), now);
@@ -389,6 +408,21 @@
         || registry.lastChangeNumber() > watch.getRegistryChange();
   }
 
+  /** Answers the watches after a delay, together with what else is news by then. */
+  private void answerWatchesSoon() {
+    if (answerScheduled) {
+      return;
+    }
+    answerScheduled = true;
+    loop.schedule(
+        () -> {
+          answerScheduled = false;
+          answerWatches();
+        },
+        READY_NEWS_DELAY_MILLIS,
+        TimeUnit.MILLISECONDS);
+  }
+
   private void answerWatches() {
     List<PendingWatch> ready = new ArrayList<>();
     watches.removeIf(w -> hasChanges(w.watch) && ready.add(w));
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import org.goldcrestfall.core.common.MillisClock;
@@ -23,6 +24,9 @@
 import org.goldcrestfall.core.warmup.RouterPosition;
 import org.goldcrestfall.daemon.site.PrepaidTokens.Outcome;
 import org.goldcrestfall.daemon.site.SiteFixture.Router;
+import org.goldcrestfall.wire.generated.Body;
+import org.goldcrestfall.wire.generated.SiteUpdate;
+import org.goldcrestfall.wire.generated.SiteWatch;
 
 /**
  * Tests the control daemons and routers of a site together. Guards against outdated configurations,
@@ -108,6 +112,49 @@
     assertThat(again.site().position()).isEqualTo(before);
   }
 
+  /** Guards against one answer to each router for each upstream of a site that starts. */
+  @Example
+  void upstreamsThatAnnounceThemselvesTogetherArePassedOnTogether() throws Exception {
+    open(1);
+    site.put("c0", "1 w 1000");
+    Router router = site.startRouter(site::addresses);
+    SiteFixture.await(() -> !router.versions().isEmpty());
+    String control = site.addresses().get(0);
+    SiteUpdate known = watch(router, control, SiteUpdate.getDefaultInstance(), 0).get();
+    final CompletableFuture<SiteUpdate> next = watch(router, control, known, 2_000);
+    site.run(
+        () -> {
+          for (int i = 0; i < 5; i++) {
+            String address = "10.0.0.9:8" + i;
+            site.controls
+                .get("c0")
+                .site()
+                .announce(
+                    new UpstreamEntry("u" + i, "s", address, "z", UpstreamState.READY, 4, 1, 1, 0));
+          }
+        });
+    assertThat(next.get().getUpstreamsCount()).isEqualTo(5);
+    CompletableFuture<SiteUpdate> last = watch(router, control, next.get(), 2_000);
+    site.call(() -> site.controls.get("c0").site().markDeparted("u3", 1));
+    assertThat(last.get().getUpstreamsList()).extracting(e -> e.getId()).containsExactly("u3");
+  }
+
+  private static CompletableFuture<SiteUpdate> watch(
+      Router router, String control, SiteUpdate known, int waitMillis) {
+    SiteWatch watch =
+        SiteWatch.newBuilder()
+            .setConfigurationIndex(Math.max(1_000, known.getConfigurationIndex()))
+            .setRegistryEpoch(known.getRegistryEpoch())
+            .setRegistryChange(known.getRegistryChange())
+            .setDaemonsChange(known.getDaemonsChange())
+            .setWaitMillis(waitMillis)
+            .build();
+    return router
+        .transport()
+        .call(control, Body.newBuilder().setSiteWatch(watch).build(), 5_000)
+        .thenApply(Body::getSiteUpdate);
+  }
+
   private static Set<String> lastZones(Router router) {
     List<EvacuatedZones> applied = router.evacuations();
     return applied.isEmpty() ? Set.of() : applied.get(applied.size() - 1).zones();
