Write log lines with a JSON generator

Each line was built as a tree by an object mapper, which a process creates at its start for this alone. The lines are the same.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/log/JsonLogFormatter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/log/JsonLogFormatter.java
@@ -1,9 +1,10 @@
 package org.goldcrestfall.daemon.log;
 
-import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.json.JsonMapper;
-import com.fasterxml.jackson.databind.node.ObjectNode;
+import com.fasterxml.jackson.core.JsonFactory;
+import com.fasterxml.jackson.core.JsonGenerator;
 import com.google.common.base.Throwables;
+import java.io.IOException;
+import java.io.StringWriter;
 import java.util.logging.Formatter;
 import java.util.logging.LogRecord;
 
@@ -13,7 +14,7 @@
  */
 final class JsonLogFormatter extends Formatter {
 
-  private static final JsonMapper MAPPER = new JsonMapper();
+  private static final JsonFactory JSON = new JsonFactory();
   private static final int MAX_PART_CHARS = 16;
 
   @Override
@@ -24,18 +25,20 @@
         prefixLength > 0
             && prefixLength <= MAX_PART_CHARS
             && message.indexOf(' ') == prefixLength + 1;
-    ObjectNode n = MAPPER.createObjectNode();
-    n.put("time", r.getInstant().toString());
-    n.put("level", r.getLevel().getName());
-    n.put("part", hasPart ? message.substring(0, prefixLength) : "library");
-    n.put("message", hasPart ? message.substring(prefixLength + 2) : message);
-    if (r.getThrown() != null) {
-      n.put("error", Throwables.getStackTraceAsString(r.getThrown()));
-    }
-    try {
-      return MAPPER.writeValueAsString(n) + "\n";
-    } catch (JsonProcessingException e) {
+    StringWriter line = new StringWriter();
+    try (JsonGenerator json = JSON.createGenerator(line)) {
+      json.writeStartObject();
+      json.writeStringField("time", r.getInstant().toString());
+      json.writeStringField("level", r.getLevel().getName());
+      json.writeStringField("part", hasPart ? message.substring(0, prefixLength) : "library");
+      json.writeStringField("message", hasPart ? message.substring(prefixLength + 2) : message);
+      if (r.getThrown() != null) {
+        json.writeStringField("error", Throwables.getStackTraceAsString(r.getThrown()));
+      }
+      json.writeEndObject();
+    } catch (IOException e) {
       return "{\"level\":\"SEVERE\",\"message\":\"log record cannot be written\"}\n";
     }
+    return line.append('\n').toString();
   }
 }
