Let routers connect to upstreams that may have restarted

A router that could not connect to an upstream presumed that it warms up until a connection succeeds, but chose upstreams that warm up only if its position let it send there. So nine of ten routers would never have tried such an upstream again. Found when reading the diff. Any router may choose it to connect now, and holds the request back once the connection shows that the upstream is there again. UpstreamWarmupTest has the case; the method that it calls is new.

--- a/core/src/main/java/org/goldcrestfall/core/warmup/UpstreamWarmup.java
+++ b/core/src/main/java/org/goldcrestfall/core/warmup/UpstreamWarmup.java
@@ -58,7 +58,17 @@
   }
 
   /**
-   * Returns whether a request may be sent now.
+   * Returns whether the upstream may be chosen for a request. One that may have restarted unseen is
+   * chosen by any router, because only a connection shows that it can be reached again.
+   *
+   * @param sendsPerSecond how many requests this router may send in a second during the warm-up
+   */
+  public boolean mayChoose(int sendsPerSecond, long nowMillis) {
+    return restartSuspected || nowMillis >= endMillis || maySend(sendsPerSecond, nowMillis);
+  }
+
+  /**
+   * Returns whether a request may be sent now during the warm-up.
    *
    * @param sendsPerSecond how many requests this router may send in a second
    */
--- a/core/src/test/java/org/goldcrestfall/core/warmup/UpstreamWarmupTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/warmup/UpstreamWarmupTest.java
@@ -114,6 +114,19 @@
     assertThat(warmup.isWarmingUp(63_000)).isFalse();
   }
 
+  /** Guards against a router that never tries an upstream again that others may send to. */
+  @Example
+  void suspectedUpstreamMayBeChosenToConnectButGetsNothingYet() {
+    UpstreamWarmup warmup = new UpstreamWarmup(0);
+    warmup.onConnectFailed();
+    assertThat(warmup.mayChoose(0, 5_000)).isTrue();
+    warmup.onConnected(3_000, 5_000);
+    assertThat(warmup.maySend(0, 5_000)).isFalse();
+    assertThat(warmup.mayChoose(0, 5_001)).isFalse();
+    assertThat(warmup.mayChoose(1, 5_001)).isTrue();
+    assertThat(warmup.mayChoose(0, 8_000)).isTrue();
+  }
+
   @Example
   void announcementsOnlyExtendTheWarmup() {
     UpstreamWarmup warmup = new UpstreamWarmup(0);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -231,7 +231,7 @@
     for (Upstream u : ready.values()) {
       if (!triedUpstreams.contains(u.entry().id())
           && !gateway.isEvacuated(u.entry().zone())
-          && gateway.warmupLimiter().maySend(u, now)
+          && gateway.warmupLimiter().mayChoose(u, now)
           && mayBeGranted(u, now)
           && (!u.idleConnections().isEmpty() || u.openConnections() < limit)) {
         candidates.add(u.load());
@@ -277,7 +277,7 @@
             .filter(u -> u.load().limit().isLimited())
             .mapToLong(u -> u.load().limitedMillis(gateway.now()))
             .min();
-    if (ready.stream().anyMatch(u -> !gateway.warmupLimiter().maySend(u, gateway.now()))) {
+    if (ready.stream().anyMatch(u -> !gateway.warmupLimiter().mayChoose(u, gateway.now()))) {
       refuse(
           ErrorKind.OVERLOADED,
           "The upstreams of the service have just started.",
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/WarmupLimiter.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/WarmupLimiter.java
@@ -7,7 +7,6 @@
 import java.util.function.Function;
 import org.goldcrestfall.core.gateway.WarmupSettings;
 import org.goldcrestfall.core.site.EvacuatedZones;
-import org.goldcrestfall.core.warmup.RouterPosition;
 import org.goldcrestfall.core.warmup.UpstreamWarmup;
 import org.goldcrestfall.daemon.site.SiteClient;
 
@@ -32,20 +31,20 @@
     this.metrics = metrics;
   }
 
-  /** Returns whether a request may be sent to an upstream now. */
-  boolean maySend(Upstream upstream, long now) {
+  /** Returns whether an upstream may be chosen for a request. */
+  boolean mayChoose(Upstream upstream, long now) {
     UpstreamWarmup warmup = upstream.warmup();
     if (!warmup.isWarmingUp(now)) {
       return true;
     }
     Optional<WarmupSettings> settings = settingsOfService.apply(upstream.entry().service());
-    if (settings.isEmpty()) {
-      return true;
-    }
-    RouterPosition position = siteClient.position();
-    int sendsPerSecond =
-        position.sendsPerSecond(upstream.incarnation(), settings.get().requestsPerSecond());
-    return warmup.maySend(sendsPerSecond, now);
+    return settings.isEmpty() || warmup.mayChoose(sendsPerSecond(upstream, settings.get()), now);
+  }
+
+  private int sendsPerSecond(Upstream upstream, WarmupSettings settings) {
+    return siteClient
+        .position()
+        .sendsPerSecond(upstream.incarnation(), settings.requestsPerSecond());
   }
 
   /**
@@ -53,11 +52,13 @@
    * whether it may be.
    */
   boolean trySend(Upstream upstream, long now) {
+    Optional<WarmupSettings> settings = settingsOfService.apply(upstream.entry().service());
+    if (settings.isEmpty()) {
+      return true;
+    }
     UpstreamWarmup warmup = upstream.warmup();
-    settingsOfService
-        .apply(upstream.entry().service())
-        .ifPresent(s -> warmup.onConnected(s.durationMillis(), now));
-    if (!maySend(upstream, now)) {
+    warmup.onConnected(settings.get().durationMillis(), now);
+    if (warmup.isWarmingUp(now) && !warmup.maySend(sendsPerSecond(upstream, settings.get()), now)) {
       metrics.recordWarmup("held_back");
       logger.atInfo().atMostEvery(1, TimeUnit.SECONDS).log(
           "warmup: a request for %s is held back by router %s of %s",
