--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -43,6 +43,7 @@
     events = Integer.parseInt(args[6]);
     ServerSocket server = new ServerSocket(0, 1_000, InetAddress.getByName(args[2]));
     address = args[2] + ":" + server.getLocalPort();
+    log("born " + BORN);
     daemon(() -> announceRegularly(List.of(args[4].split(","))));
     while (true) {
       Socket s = server.accept();
