--- a/review/standin-2/LateDeparture.java
+++ b/review/standin-2/LateDeparture.java
@@ -5,12 +5,13 @@
 import java.nio.file.Path;
 
 /**
- * A worker leaves and starts again under the id that it had. The call with which its earlier
+ * A worker drains, leaves and starts again under the id that it had. The call with which its earlier
  * incarnation deregistered arrives seconds late, after the new one has registered.
  */
 public final class LateDeparture {
 
   private static final long LATE_MILLIS = 4_000;
+  private static final long DRAIN_MILLIS = 2_000;
   private static final long CONTACT_MILLIS = 3_000;
   private static final int REQUESTS = 100;
   private static final String HOST = "calls.example";
@@ -77,6 +78,10 @@
       throw new IOException("the added route is not served");
     }
     String born = fleet.workerLog("w-b").get(0).split(" ")[2];
+    first.getOutputStream().write('\n');
+    first.getOutputStream().flush();
+    awaitDraining();
+    Thread.sleep(DRAIN_MILLIS + 500);
     first.destroyForcibly().waitFor();
     record.log("worker: w-b, born %s, has ended; its call to deregister is on its way", born);
     Thread.sleep(500);
@@ -110,6 +115,17 @@
     return 4 * servedB >= servedA;
   }
 
+  private void awaitDraining() throws IOException, InterruptedException {
+    for (int i = 0; i < 50; i++) {
+      if (fleet.workerLog("w-b").stream().anyMatch(l -> l.contains("draining is acknowledged"))) {
+        record.log("worker: w-b is draining, which is acknowledged");
+        return;
+      }
+      Thread.sleep(100);
+    }
+    throw new IOException("the worker's draining is not acknowledged");
+  }
+
   private int send(String route) {
     Fleet.Node router = fleet.routers.get(requests / 2 % fleet.routers.size());
     String id = "%016x".formatted(0x7000_0000L + requests++);
--- a/review/standin-2/Worker.java
+++ b/review/standin-2/Worker.java
@@ -29,6 +29,7 @@
   private static String address;
   private static long promptMillis;
   private static int events;
+  private static volatile String state = "ready";
   private static final Semaphore slots = new Semaphore(SLOTS, true);
   private static final AtomicInteger present = new AtomicInteger();
 
@@ -45,6 +46,7 @@
     address = args[2] + ":" + server.getLocalPort();
     log("born " + BORN);
     daemon(() -> announceRegularly(List.of(args[4].split(","))));
+    daemon(Worker::awaitDrain);
     while (true) {
       Socket s = server.accept();
       daemon(() -> serve(s));
@@ -57,6 +59,17 @@
     t.start();
   }
 
+  /** Reports that this worker is draining once a line arrives on standard input. */
+  private static void awaitDrain() {
+    try {
+      if (System.in.read() >= 0) {
+        state = "draining";
+      }
+    } catch (IOException e) {
+      log("no input: " + e);
+    }
+  }
+
   private static synchronized void log(String line) {
     System.out.println(System.currentTimeMillis() + " " + line);
   }
@@ -65,10 +78,14 @@
     for (long sequence = 1; ; sequence++) {
       String body =
           ("{\"Service\":\"%s\",\"Address\":\"%s\",\"Zone\":\"%s\",\"Version\":\"v1\",\"Slots\":%d,"
-                  + "\"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":%d,\"born\":%d}")
-              .formatted(service, address, zone, SLOTS, sequence, BORN);
+                  + "\"State\":\"%s\",\"ColdRemainingMs\":0,\"Sequence\":%d,\"born\":%d}")
+              .formatted(service, address, zone, SLOTS, state, sequence, BORN);
+      boolean draining = body.contains("draining");
       for (int i = 0; i < controls.size(); i++) {
         if (announce(controls.get((int) ((sequence + i) % controls.size())), body)) {
+          if (draining) {
+            log("draining is acknowledged, sequence " + sequence);
+          }
           break;
         }
       }
