Put a first configuration of any version in force

Cause: SiteState stored "no configuration" as version 0 and compared the first command with it, so that 0 and negative versions were not higher. The log shows the commit, and no configuration that comes into force.

--- a/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
@@ -2,6 +2,8 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.function.Consumer;
 import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
@@ -16,35 +18,31 @@
   /**
    * The configuration in force.
    *
-   * @param index the log index at which it came into force; 0 if there is no configuration yet
+   * @param version the operator's number, which may be 0 or negative
+   * @param index the log index at which it came into force; at least 1
    */
   public record StoredConfiguration(
-      long version, long index, byte[] document, ImmutableMap<String, Long> totals) {
-
-    /** The empty configuration, in force until the first one is applied. */
-    public static final StoredConfiguration NONE =
-        new StoredConfiguration(0, 0, new byte[0], ImmutableMap.of());
-  }
+      long version, long index, byte[] document, ImmutableMap<String, Long> totals) {}
 
   /**
    * The reply to a command.
    *
-   * @param version the version in force after the command
+   * @param version the version in force after the command; empty without a configuration
    * @param allotments the allotments that the command renewed
    * @param proposedAt when the leader proposed the command, if it renewed allotments
    */
   public record Reply(
-      long version, List<PrepaidLedger.Allotment> allotments, LeaderTime proposedAt) {
+      OptionalLong version, List<PrepaidLedger.Allotment> allotments, LeaderTime proposedAt) {
 
     /** Creates the reply to a command that renews no allotments. */
-    public static Reply ofVersion(long version) {
+    public static Reply ofVersion(OptionalLong version) {
       return new Reply(version, List.of(), LeaderTime.NONE);
     }
   }
 
   private final PrepaidLedger ledger = new PrepaidLedger();
   private final PartQuarantine quarantine = new PartQuarantine();
-  private StoredConfiguration configuration = StoredConfiguration.NONE;
+  private Optional<StoredConfiguration> configuration = Optional.empty();
   private QuarantineView quarantineView = QuarantineView.EMPTY;
   private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
   private RouterNumbers routerNumbers = RouterNumbers.NONE;
@@ -52,37 +50,56 @@
   /** Applies the command at a log index and returns the reply. */
   public Reply apply(long index, SiteCommand command) {
     if (command instanceof SiteCommand.PutConfiguration c) {
-      if (c.version() > configuration.version()) {
-        configuration = new StoredConfiguration(c.version(), index, c.document(), c.totals());
+      if (supersedesConfiguration(c)) {
+        configuration =
+            Optional.of(new StoredConfiguration(c.version(), index, c.document(), c.totals()));
         ledger.setTotals(c.totals());
       }
-      return Reply.ofVersion(configuration.version());
+      return Reply.ofVersion(version());
     }
     if (command instanceof SiteCommand.ReportCrashes c) {
       if (quarantine.update(c.lost(), c.answered(), c.sentAtMillis())) {
         quarantineView = QuarantineView.of(index, quarantine.suspects());
       }
-      return Reply.ofVersion(configuration.version());
+      return Reply.ofVersion(version());
     }
     if (command instanceof SiteCommand.SetEvacuation c) {
       evacuatedZones = evacuatedZones.after(index, c);
-      return Reply.ofVersion(configuration.version());
+      return Reply.ofVersion(version());
     }
     if (command instanceof SiteCommand.RegisterRouter c) {
       routerNumbers = routerNumbers.with(index, c.host());
-      return Reply.ofVersion(configuration.version());
+      return Reply.ofVersion(version());
     }
     SiteCommand.RenewAllotments c = (SiteCommand.RenewAllotments) command;
     List<PrepaidLedger.Allotment> allotments =
         ledger.renew(c.router(), c.number(), c.times(), c.demands(), c.proposedAt());
-    return new Reply(configuration.version(), allotments, c.proposedAt());
+    return new Reply(version(), allotments, c.proposedAt());
+  }
+
+  /**
+   * Returns whether a configuration is the first one or has a higher version than the stored one.
+   */
+  private boolean supersedesConfiguration(SiteCommand.PutConfiguration command) {
+    OptionalLong stored = version();
+    return stored.isEmpty() || command.version() > stored.getAsLong();
+  }
+
+  /** Returns the version of the configuration in force; empty without a configuration. */
+  public OptionalLong version() {
+    return configuration.stream().mapToLong(StoredConfiguration::version).findFirst();
   }
 
-  /** Returns the configuration in force. */
-  public StoredConfiguration configuration() {
+  /** Returns the configuration in force; empty until the first one is applied. */
+  public Optional<StoredConfiguration> configuration() {
     return configuration;
   }
 
+  /** Returns the prepaid totals of the configuration in force; empty without a configuration. */
+  public ImmutableMap<String, Long> prepaidTotals() {
+    return configuration.map(StoredConfiguration::totals).orElse(ImmutableMap.of());
+  }
+
   /** Returns the prompt parts under which upstreams have crashed. */
   public QuarantineView quarantine() {
     return quarantineView;
@@ -127,14 +144,14 @@
 
   /** Replaces the state by that of a snapshot. */
   public void restore(
-      StoredConfiguration stored,
+      Optional<StoredConfiguration> stored,
       List<PrepaidLedger.IncarnationTotals> allotments,
       List<CrashReport> crashReports,
       QuarantineView suspects,
       EvacuatedZones evacuated,
       RouterNumbers numbers) {
     configuration = stored;
-    ledger.setTotals(stored.totals());
+    ledger.setTotals(prepaidTotals());
     ledger.restore(allotments);
     quarantine.restore(crashReports, suspects.parts().values().asList());
     quarantineView = suspects;
--- a/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
@@ -5,7 +5,12 @@
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Example;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
@@ -29,12 +34,31 @@
   void onlyHigherVersionComesIntoForce() {
     SiteState state = new SiteState();
     state.apply(1, put(7, 100));
-    assertThat(state.apply(2, put(5, 200)).version()).isEqualTo(7);
-    assertThat(state.apply(3, put(7, 300)).version()).isEqualTo(7);
-    assertThat(state.configuration().index()).isEqualTo(1);
-    assertThat(state.configuration().totals()).containsEntry("w", 100L);
-    assertThat(state.apply(4, put(9, 400)).version()).isEqualTo(9);
-    assertThat(state.configuration().index()).isEqualTo(4);
+    assertThat(state.apply(2, put(5, 200)).version()).hasValue(7);
+    assertThat(state.apply(3, put(7, 300)).version()).hasValue(7);
+    assertThat(state.configuration().orElseThrow().index()).isEqualTo(1);
+    assertThat(state.configuration().orElseThrow().totals()).containsEntry("w", 100L);
+    assertThat(state.apply(4, put(9, 400)).version()).hasValue(9);
+    assertThat(state.configuration().orElseThrow().index()).isEqualTo(4);
+  }
+
+  /**
+   * Guards against a first configuration that is acknowledged, but not in force for its version.
+   */
+  @Property
+  void firstConfigurationIsInForceWithAnyVersion(
+      @ForAll("edgeVersions") long first, @ForAll("edgeVersions") long second) {
+    SiteState state = new SiteState();
+    assertThat(state.version()).isEmpty();
+    assertThat(state.apply(1, put(first, 100)).version()).hasValue(first);
+    assertThat(state.configuration().orElseThrow().index()).isEqualTo(1);
+    assertThat(state.apply(2, put(second, 200)).version()).hasValue(Math.max(first, second));
+    assertThat(state.configuration().orElseThrow().index()).isEqualTo(second > first ? 2 : 1);
+  }
+
+  @Provide
+  Arbitrary<Long> edgeVersions() {
+    return Arbitraries.of(Long.MIN_VALUE, -1L, 0L, 1L, 7L, Long.MAX_VALUE);
   }
 
   /**
@@ -46,13 +70,13 @@
     SiteState state = new SiteState();
     ReplayProgress progress = new ReplayProgress();
     state.apply(1, put(1, 100));
-    assertThat(progress.isComplete(state.configuration().index())).isFalse();
+    assertThat(progress.isComplete(state.configuration().orElseThrow().index())).isFalse();
     progress.recordConfirmedIndex(3);
-    assertThat(progress.isComplete(state.configuration().index())).isFalse();
+    assertThat(progress.isComplete(state.configuration().orElseThrow().index())).isFalse();
     state.apply(3, put(2, 100));
-    assertThat(progress.isComplete(state.configuration().index())).isTrue();
+    assertThat(progress.isComplete(state.configuration().orElseThrow().index())).isTrue();
     state.apply(4, put(3, 100));
-    assertThat(progress.isComplete(state.configuration().index())).isTrue();
+    assertThat(progress.isComplete(state.configuration().orElseThrow().index())).isTrue();
   }
 
   @Example
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -9,6 +9,8 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
@@ -166,9 +168,8 @@
 
   static byte[] encodeReply(SiteState.Reply reply) {
     SiteReply.Builder out =
-        SiteReply.newBuilder()
-            .setVersion(reply.version())
-            .setProposedAt(encodeLeaderTime(reply.proposedAt()));
+        SiteReply.newBuilder().setProposedAt(encodeLeaderTime(reply.proposedAt()));
+    reply.version().ifPresent(out::setVersion);
     for (PrepaidLedger.Allotment a : reply.allotments()) {
       out.addAllotments(
           AllotmentState.newBuilder()
@@ -196,17 +197,21 @@
               a.getMaxHeld()));
     }
     return new SiteState.Reply(
-        decoded.getVersion(), allotments, decodeLeaderTime(decoded.getProposedAt()));
+        decoded.hasVersion() ? OptionalLong.of(decoded.getVersion()) : OptionalLong.empty(),
+        allotments,
+        decodeLeaderTime(decoded.getProposedAt()));
   }
 
   static byte[] encodeSnapshot(SiteState state) {
-    SiteState.StoredConfiguration c = state.configuration();
-    SiteSnapshot.Builder out =
-        SiteSnapshot.newBuilder()
-            .setVersion(c.version())
-            .setConfigurationIndex(c.index())
-            .setDocument(ByteString.copyFrom(c.document()))
-            .addAllTotals(encodeTotals(c.totals()));
+    SiteSnapshot.Builder out = SiteSnapshot.newBuilder();
+    state
+        .configuration()
+        .ifPresent(
+            c ->
+                out.setVersion(c.version())
+                    .setConfigurationIndex(c.index())
+                    .setDocument(ByteString.copyFrom(c.document()))
+                    .addAllTotals(encodeTotals(c.totals())));
     for (PrepaidLedger.IncarnationTotals r : state.allotments()) {
       RouterAllotments.Builder router =
           RouterAllotments.newBuilder()
@@ -261,11 +266,7 @@
               workspaceTotals));
     }
     state.restore(
-        new SiteState.StoredConfiguration(
-            decoded.getVersion(),
-            decoded.getConfigurationIndex(),
-            decoded.getDocument().toByteArray(),
-            decodeTotals(decoded.getTotalsList())),
+        decodeConfiguration(decoded),
         routers,
         decoded.getCrashReportsList().stream().map(SiteCodec::decodeCrash).toList(),
         decodeSuspects(decoded.getQuarantineIndex(), decoded.getSuspectPartsList()),
@@ -274,6 +275,18 @@
         decodeNumbers(decoded.getRegistrationIndex(), decoded.getRegisteredHostsList()));
   }
 
+  private static Optional<SiteState.StoredConfiguration> decodeConfiguration(
+      SiteSnapshot snapshot) {
+    return snapshot.hasVersion()
+        ? Optional.of(
+            new SiteState.StoredConfiguration(
+                snapshot.getVersion(),
+                snapshot.getConfigurationIndex(),
+                snapshot.getDocument().toByteArray(),
+                decodeTotals(snapshot.getTotalsList())))
+        : Optional.empty();
+  }
+
   private static RouterNumbers decodeNumbers(long index, List<String> hosts) {
     RouterNumbers numbers = RouterNumbers.NONE;
     for (String host : hosts) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
@@ -8,6 +8,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -181,11 +182,14 @@
             });
   }
 
-  /** Returns the document of the newest configuration. Fails if no leader can confirm it. */
-  public CompletableFuture<byte[]> readConfiguration() {
+  /**
+   * Returns the document of the newest configuration; empty if there is none yet. Fails if no
+   * leader can confirm it.
+   */
+  public CompletableFuture<Optional<byte[]>> readConfiguration() {
     return controlClient
         .query(SiteStateMachine.READ_CONFIGURATION_DOCUMENT, COMMIT_TIMEOUT_MILLIS)
-        .thenApply(d -> d.length == 0 ? d : Compression.decompress(d));
+        .thenApply(d -> d.length == 0 ? Optional.empty() : Optional.of(Compression.decompress(d)));
   }
 
   /**
@@ -381,9 +385,14 @@
             loop);
   }
 
-  /** Returns the configuration that may be sent to routers; none while the log is replayed. */
-  private SiteState.StoredConfiguration currentConfiguration() {
-    return isReplayed() ? machine.configuration() : SiteState.StoredConfiguration.NONE;
+  /**
+   * Returns the configuration that a watch does not know yet and that may be sent to routers; none
+   * while the log is replayed.
+   */
+  private Optional<SiteState.StoredConfiguration> newConfiguration(SiteWatch watch) {
+    return isReplayed()
+        ? machine.configuration().filter(c -> c.index() > watch.getConfigurationIndex())
+        : Optional.empty();
   }
 
   /** Returns the suspect parts that may be sent to routers; none while the log is replayed. */
@@ -401,7 +410,7 @@
   }
 
   private boolean hasChanges(SiteWatch watch) {
-    return currentConfiguration().index() > watch.getConfigurationIndex()
+    return newConfiguration(watch).isPresent()
         || currentQuarantine().index() > watch.getQuarantineIndex()
         || currentEvacuatedZones().index() > watch.getEvacuationIndex()
         || watch.getRegistryEpoch() != registryEpoch
@@ -442,10 +451,11 @@
     registry
         .changesAfter(sameEpoch ? watch.getRegistryChange() : 0, clock.nowMillis())
         .forEach(e -> out.addUpstreams(SiteCodec.encodeEntry(e)));
-    SiteState.StoredConfiguration c = currentConfiguration();
-    if (c.index() > watch.getConfigurationIndex()) {
-      out.setConfigurationIndex(c.index()).setConfiguration(ByteString.copyFrom(c.document()));
-    }
+    newConfiguration(watch)
+        .ifPresent(
+            c ->
+                out.setConfigurationIndex(c.index())
+                    .setConfiguration(ByteString.copyFrom(c.document())));
     QuarantineView q = currentQuarantine();
     if (q.index() > watch.getQuarantineIndex()) {
       out.setQuarantineIndex(q.index()).addAllSuspectParts(SiteCodec.encodeSuspects(q));
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteStateMachine.java
@@ -4,6 +4,7 @@
 import com.google.common.flogger.FluentLogger;
 import com.google.common.primitives.Longs;
 import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.prepaid.LeaderTime;
@@ -23,12 +24,17 @@
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** Query for the compressed document of the configuration in force. */
+  /**
+   * Query for the compressed document of the configuration in force. The reply has no bytes without
+   * a configuration; a compressed document always has some.
+   */
   static final byte[] READ_CONFIGURATION_DOCUMENT = new byte[0];
 
   /** Query for the log index of the last published change, as 8 bytes in big-endian order. */
   static final byte[] READ_LAST_CHANGE_INDEX = new byte[1];
 
+  private static final byte[] NO_CONFIGURATION_DOCUMENT = new byte[0];
+
   private static final int LEDGER_REPORT_INTERVAL_MILLIS = 2_000;
 
   private final SiteState state = new SiteState();
@@ -41,7 +47,7 @@
   private long ledgerReportedAtMillis = -LEDGER_REPORT_INTERVAL_MILLIS;
   private volatile ImmutableMap<String, PrepaidLedger.Distribution> prepaidTokens =
       ImmutableMap.of();
-  private volatile SiteState.StoredConfiguration configuration = state.configuration();
+  private volatile Optional<SiteState.StoredConfiguration> configuration = state.configuration();
   private volatile QuarantineView quarantine = state.quarantine();
   private volatile EvacuatedZones evacuatedZones = state.evacuatedZones();
   private volatile RouterNumbers routerNumbers = state.routerNumbers();
@@ -81,9 +87,10 @@
   }
 
   /**
-   * Returns the configuration in force according to the log entries that this member has applied.
+   * Returns the configuration in force according to the log entries that this member has applied;
+   * empty until the first one is applied.
    */
-  SiteState.StoredConfiguration configuration() {
+  Optional<SiteState.StoredConfiguration> configuration() {
     return configuration;
   }
 
@@ -102,10 +109,13 @@
     return routerNumbers;
   }
 
-  /** Returns the log index of the last published change that this member has applied. */
+  /** Returns the log index of the last published change that this member has applied, or 0. */
   long lastChangeIndex() {
     return Longs.max(
-        configuration.index(), quarantine.index(), evacuatedZones.index(), routerNumbers.index());
+        configuration.map(SiteState.StoredConfiguration::index).orElse(0L),
+        quarantine.index(),
+        evacuatedZones.index(),
+        routerNumbers.index());
   }
 
   @Override
@@ -117,7 +127,7 @@
 
   @Override
   public byte[] apply(long index, byte[] command) {
-    SiteState.Reply reply = SiteState.Reply.ofVersion(configuration.version());
+    SiteState.Reply reply = SiteState.Reply.ofVersion(state.version());
     try {
       SiteCommand decoded = SiteCodec.decodeCommand(command);
       if (decoded != null) {
@@ -141,7 +151,7 @@
     ledgerReportedAtMillis = now;
     ImmutableMap.Builder<String, PrepaidLedger.Distribution> tokens = ImmutableMap.builder();
     StringBuilder description = new StringBuilder();
-    for (String workspace : state.configuration().totals().keySet()) {
+    for (String workspace : state.prepaidTotals().keySet()) {
       PrepaidLedger.Distribution d = state.prepaidTokens(workspace);
       tokens.put(workspace, d);
       description.append(
@@ -171,9 +181,11 @@
           evacuatedZones.zones(), evacuatedZones.index());
     }
     if (configurationChanged) {
-      logger.atInfo().log(
-          "site: configuration version %s is in force since index %s",
-          configuration.version(), configuration.index());
+      configuration.ifPresent(
+          c ->
+              logger.atInfo().log(
+                  "site: configuration version %s is in force since index %s",
+                  c.version(), c.index()));
     }
     changeListener.run();
   }
@@ -181,7 +193,10 @@
   @Override
   public byte[] query(byte[] query) {
     return query.length == 0
-        ? state.configuration().document()
+        ? state
+            .configuration()
+            .map(SiteState.StoredConfiguration::document)
+            .orElse(NO_CONFIGURATION_DOCUMENT)
         : Longs.toByteArray(lastChangeIndex());
   }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
@@ -61,8 +61,34 @@
     site.put("c2", "3 w 9000");
     SiteFixture.await(() -> router.versions().contains(5L));
     assertThat(router.versions()).isSorted().doesNotContain(3L);
-    byte[] read = site.call(() -> site.controls.get("c2").site().readConfiguration());
-    assertThat(new String(read, UTF_8)).isEqualTo("5 w 2000");
+    assertThat(readConfiguration("c2")).isEqualTo("5 w 2000");
+  }
+
+  private String readConfiguration(String host) throws Exception {
+    return new String(
+        site.call(() -> site.controls.get(host).site().readConfiguration()).orElseThrow(), UTF_8);
+  }
+
+  /**
+   * Guards against an acknowledged first configuration that is never in force: it had the version
+   * 0.
+   */
+  @Example
+  void firstConfigurationIsInForceWithVersionZeroAndOutlivesRestartOfAllControlDaemons()
+      throws Exception {
+    open(3);
+    final Router early = site.startRouter(site::addresses);
+    site.put("c0", "0 w 1000");
+    site.put("c1", "-4 w 2000");
+    SiteFixture.await(() -> early.versions().equals(List.of(0L)));
+    assertThat(readConfiguration("c2")).isEqualTo("0 w 1000");
+    List.copyOf(site.controls.keySet()).forEach(site::stopControl);
+    for (int i = 0; i < 3; i++) {
+      site.startControl(i, false);
+    }
+    Router late = site.startRouter(site::addresses);
+    SiteFixture.await(() -> late.versions().equals(List.of(0L)));
+    assertThat(readConfiguration(site.leaderHost())).isEqualTo("0 w 1000");
   }
 
   /** Guards against an acknowledged evacuation that a new leader, a restart or a repeat undoes. */
@@ -169,8 +195,7 @@
                 site.call(
                     () -> site.controls.get("c0").site().replaceConfiguration(new byte[] {'x'})))
         .hasMessageContaining("expected three fields");
-    byte[] read = site.call(() -> site.controls.get("c0").site().readConfiguration());
-    assertThat(new String(read, UTF_8)).isEqualTo("1 w 1000");
+    assertThat(readConfiguration("c0")).isEqualTo("1 w 1000");
   }
 
   /**
