Let members whose addition was overwritten join again

A control host that lost its disk could stay without a vote for good: the entry that added it again had reached only that host when another leader overwrote it. The group then bore one loss fewer.

Cause: the host found itself in its own member list, and in an open group it went on naming the former leader, because only members that can be elected forget a silent leader; so it never asked to join again.

A member that cannot be elected now forgets its leader after the election timeout, and every member that knows no leader asks to join.

Evidence: ConsensusPropertyTest.hostWhoseAdditionWasOverwrittenIsAddedAgain failed on its first try before and passes 20 tries of fixed and open groups; all tests of the consensus core pass.

--- a/core/src/main/java/org/goldcrestfall/core/consensus/Election.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Election.java
@@ -13,10 +13,19 @@
     this.replica = replica;
   }
 
-  /** Starts a pre-vote if the election timeout has passed without contact from a leader. */
+  /**
+   * Starts a pre-vote if the election timeout has passed without contact from a leader. A member
+   * that cannot be elected forgets the leader instead.
+   */
   void tick() {
     Members members = replica.log.members();
-    if (replica.role == Role.LEADER || !replica.writable || !members.isVoter(replica.self)) {
+    if (replica.role == Role.LEADER) {
+      return;
+    }
+    if (!replica.writable || !members.isVoter(replica.self)) {
+      if (replica.now >= replica.electionDueAt) {
+        replica.leaderId = "";
+      }
       return;
     }
     // The only voter cannot have granted a lease to another leader, so it need not wait. Once it is
--- a/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusPropertyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusPropertyTest.java
@@ -141,4 +141,24 @@
       group.recover();
     }
   }
+
+  /**
+   * Guards against a host without a vote for good: the entry that added it again reached only that
+   * host, and another leader overwrote it.
+   */
+  @Property(tries = 20, seed = "3701", shrinking = ShrinkingMode.OFF)
+  void hostWhoseAdditionWasOverwrittenIsAddedAgain(@ForAll long seed, @ForAll boolean open) {
+    GroupPolicy policy = open ? GroupPolicy.openGroup(2) : GroupPolicy.FIXED;
+    FakeGroup group = new FakeGroup(5, 5, policy, seed);
+    group.run(1_000);
+    FakeHost leader = group.leader();
+    FakeHost lost = group.hosts.get((leader.number + 1) % 5);
+    group.loseDisk(lost);
+    group.isolated.add(leader.number);
+    group.isolated.add(lost.number);
+    group.run(FakeGroup.TIMING.electionMinMillis() + 100);
+    assertThat(lost.consensus.members().find(lost.id)).isPresent();
+    group.run(2_000);
+    group.recover();
+  }
 }
--- a/core/src/test/java/org/goldcrestfall/core/consensus/FakeGroup.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/FakeGroup.java
@@ -196,10 +196,9 @@
     }
   }
 
-  /** In an open group, a member that knows no leader asks as well, as it may have been removed. */
+  /** A member that knows no leader asks as well, as it may not be in the member list any more. */
   private boolean asksToJoin(FakeHost host) {
-    return host.isLive() && host.consensus.members().find(host.id).isEmpty()
-        || policy.openMembership() && host.hasNoLeader();
+    return host.isLive() && host.consensus.members().find(host.id).isEmpty() || host.hasNoLeader();
   }
 
   /** Runs for a simulated time without message faults and with fast disks. */
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/GroupJoiner.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/GroupJoiner.java
@@ -20,9 +20,10 @@
  * Adds a member to its group. A member without state repeatedly sends join requests to all known
  * hosts until the leader has added it as a learner. The founder, which is the first host of {@link
  * ControlSettings#members}, forms a new group instead once all these hosts have answered that they
- * have no state either, so that a host whose disk was lost cannot form a second group. A member of
- * an open group that knows no leader sends join requests too, because it may have been removed from
- * the group while it was unreachable.
+ * have no state either, so that a host whose disk was lost cannot form a second group. A member
+ * that knows no leader sends join requests too, because it may not be in the member list any more:
+ * another leader may have overwritten the entry that added it, or it was removed from an open group
+ * while it was unreachable.
  */
 final class GroupJoiner {
 
@@ -57,11 +58,9 @@
   }
 
   private void joinIfNeeded() {
-    // The check continues after the member has been added, because a new leader may overwrite the
-    // entry that added it until that entry is committed.
     boolean member = replica.status().members().find(replica.identity().id()).isPresent();
     boolean hasLeader = !replica.status().leaderAddress().isEmpty();
-    if (!member || settings.policy().openMembership() && !hasLeader && !hadLeader) {
+    if (!member || !hasLeader && !hadLeader) {
       requestJoin();
     }
     hadLeader = hasLeader;
