Let wiped hosts join through members that ask them

A control host that lost its disk stayed without a vote for good if no address in its settings belonged to a member any more. The group then ran with the rest and bore fewer losses than configured.

Cause: a host without state asks only the addresses of its settings and the leader that these name.

It now also asks the hosts from which it has received a join request, and a leader sends one to all addresses of the member list every 3 s. Members without a leader did so before.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlHandlers.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlHandlers.java
@@ -72,6 +72,9 @@
         (settings.policy().openMembership() || settings.members().containsKey(request.getHost()))
             && request.getHost().equals(sender.host())
             && request.getHost().equals(ControlReplica.hostOf(request.getMember()));
+    if (eligible && status.members().all().isEmpty()) {
+      replica.recordAsking(request.getAddress());
+    }
     boolean accepted = eligible && status.role() == Role.LEADER;
     if (accepted && status.members().find(request.getMember()).isEmpty()) {
       replica.post(
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlReplica.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlReplica.java
@@ -4,9 +4,11 @@
 import com.google.common.flogger.FluentLogger;
 import java.io.IOException;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.RejectedExecutionException;
@@ -62,6 +64,9 @@
   private final Map<Long, CompletableFuture<byte[]>> proposals = new HashMap<>();
   private final Map<String, String> learnedAddresses = new HashMap<>();
 
+  /** The addresses of hosts that have sent a join request. */
+  private final Set<String> askingAddresses = new HashSet<>();
+
   /** The replies to release later, by proposal; {@link #NO_REPLY} until the command is applied. */
   private final Map<Long, byte[]> heldReplies = new HashMap<>();
 
@@ -380,6 +385,26 @@
     learnedAddresses.put(memberId, address);
   }
 
+  /** Records the address of a host that has sent a join request. */
+  void recordAsking(String address) {
+    execute(
+        () -> {
+          if (askingAddresses.size() > MAX_LEARNED_ADDRESSES) {
+            askingAddresses.clear();
+          }
+          askingAddresses.add(address);
+        },
+        null);
+  }
+
+  /**
+   * Returns the addresses of hosts that have sent a join request. Must be called on the consensus
+   * thread.
+   */
+  Set<String> askingAddresses() {
+    return askingAddresses;
+  }
+
   static String hostOf(String memberId) {
     return memberId.substring(0, Math.max(0, memberId.lastIndexOf('#')));
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/GroupJoiner.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/GroupJoiner.java
@@ -10,6 +10,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
 import org.goldcrestfall.core.consensus.Member;
+import org.goldcrestfall.core.consensus.Role;
 import org.goldcrestfall.daemon.PeriodicTasks;
 import org.goldcrestfall.wire.PeerTransport;
 import org.goldcrestfall.wire.generated.Body;
@@ -23,15 +24,18 @@
  * have no state either, so that a host whose disk was lost cannot form a second group. A member
  * that knows no leader sends join requests too, because it may not be in the member list any more:
  * another leader may have overwritten the entry that added it, or it was removed from an open group
- * while it was unreachable.
+ * while it was unreachable. A leader sends them now and then: a host that has lost its disk may
+ * know no present member, and asks those from which it has received a request.
  */
 final class GroupJoiner {
 
   private static final FluentLogger logger = FluentLogger.forEnclosingClass();
 
-  /** The interval between attempts, and the timeout of each join request. */
+  /** The interval between checks and attempts, and the timeout of each join request. */
   private static final long ATTEMPT_INTERVAL_MILLIS = 300;
 
+  private static final int CHECKS_BETWEEN_LEADER_REQUESTS = 10;
+
   private final ControlReplica replica;
   private final ControlSettings settings;
   private final PeerTransport transport;
@@ -40,6 +44,8 @@
   /** The hosts without state by address: this one and those that reported it in this attempt. */
   private final Map<String, Member> membersWithoutState = new TreeMap<>();
 
+  private int checks;
+
   /** This host's address and those that were sent a join request in the current attempt. */
   private final Set<String> contactedAddresses = new HashSet<>();
 
@@ -60,7 +66,11 @@
   private void joinIfNeeded() {
     boolean member = replica.status().members().find(replica.identity().id()).isPresent();
     boolean hasLeader = !replica.status().leaderAddress().isEmpty();
-    if (!member || !hasLeader && !hadLeader) {
+    boolean leads = replica.status().role() == Role.LEADER;
+    checks++;
+    if (!member
+        || !hasLeader && !hadLeader
+        || leads && checks % CHECKS_BETWEEN_LEADER_REQUESTS == 0) {
       requestJoin();
     }
     hadLeader = hasLeader;
@@ -70,6 +80,7 @@
     membersWithoutState.clear();
     membersWithoutState.put(settings.address(), self());
     Set<String> addresses = new LinkedHashSet<>(settings.joinAddresses().get());
+    addresses.addAll(replica.askingAddresses());
     addresses.addAll(settings.members().values());
     replica.status().members().all().forEach(m -> addresses.add(m.address()));
     contactedAddresses.clear();
--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/OpenGroupTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/OpenGroupTest.java
@@ -102,4 +102,23 @@
     FakeHosts.await(() -> voters("h0").size() == 5 && voters("h1").size() == 5);
     assertThat(FakeHosts.read(hosts.client())).isEqualTo("a");
   }
+
+  /** Guards against hosts without a vote for good: no host that they were told of is a member. */
+  @Example
+  void hostsThatLostTheirDisksAndKnowNoMemberJoinAgain() throws Exception {
+    start(6, 6);
+    FakeHosts.await(() -> voters("h4").size() == 6 && voters("h5").size() == 6);
+    hosts.stop("h1");
+    FakeHosts.await(() -> voters("h4").size() == 5 && voters("h5").size() == 5);
+    for (String host : List.of("h0", "h2")) {
+      hosts.stop(host);
+      hosts.loseDisk(host);
+      hosts.start(host);
+    }
+    FakeHosts.await(
+        () ->
+            List.of("h0", "h2").stream()
+                .map(h -> hosts.replica(h).status().memberId())
+                .allMatch(id -> hosts.replica("h4").status().members().isVoter(id)));
+  }
 }
