Admit nobody by an empty list of workspaces

Cause: a document with an empty list of workspaces and one without a list were decoded to the same configuration, and an empty list meant that requests need no key.

A configuration now states whether it requires keys, and GatewayConfiguration.authenticate decides what a caller may do. A key is withheld from upstreams if the configuration that admitted the request or the one in force when it is sent requires keys. A configuration without a list stays open.

--- a/core/src/main/java/org/goldcrestfall/core/gateway/GatewayConfiguration.java
+++ b/core/src/main/java/org/goldcrestfall/core/gateway/GatewayConfiguration.java
@@ -18,6 +18,7 @@
   private final ImmutableList<Route> routes;
   private final ImmutableMap<String, ServiceSettings> services;
   private final ClientLimits limits;
+  private final boolean requiresKeys;
   private final ImmutableList<WorkspaceSettings> workspaces;
   private final Map<String, List<Route>> routesByHost = new HashMap<>();
   private final Map<String, WorkspaceSettings> workspacesByKey = new HashMap<>();
@@ -25,6 +26,8 @@
   /**
    * Validates and indexes a configuration.
    *
+   * @param workspaces the workspaces whose keys are valid; if empty, requests need no key. An empty
+   *     list differs from that: requests then need a key, and no key is valid
    * @throws InvalidConfigurationException if a route names an unknown service, has a negative
    *     weight, only weights of 0, no positive timeout, or a path prefix that does not begin and
    *     end with a slash, if two routes have the same host and path prefix, or if two workspaces
@@ -35,13 +38,14 @@
       List<Route> routes,
       Map<String, ServiceSettings> services,
       ClientLimits limits,
-      List<WorkspaceSettings> workspaces)
+      Optional<List<WorkspaceSettings>> workspaces)
       throws InvalidConfigurationException {
     this.version = version;
     this.routes = ImmutableList.copyOf(routes);
     this.services = ImmutableMap.copyOf(services);
     this.limits = limits;
-    this.workspaces = ImmutableList.copyOf(workspaces);
+    requiresKeys = workspaces.isPresent();
+    this.workspaces = ImmutableList.copyOf(workspaces.orElse(List.of()));
     indexRoutes();
     indexKeys();
   }
@@ -117,7 +121,12 @@
     return services;
   }
 
-  /** Returns all workspaces. If there are none, requests need no key. */
+  /** Returns whether requests need a key, except on public routes. */
+  public boolean requiresKeys() {
+    return requiresKeys;
+  }
+
+  /** Returns all workspaces. */
   public ImmutableList<WorkspaceSettings> workspaces() {
     return workspaces;
   }
@@ -135,6 +144,19 @@
     return Optional.empty();
   }
 
+  /**
+   * Decides whether a caller may use a route.
+   *
+   * @param key the key that the request carries, if any
+   * @return the caller's access, or nothing if the request needs a key that a workspace holds
+   */
+  public Optional<CallerAccess> authenticate(Route route, Optional<String> key) {
+    Optional<WorkspaceSettings> workspace = key.flatMap(this::findWorkspace);
+    return !requiresKeys || workspace.isPresent() || route.isPublic()
+        ? Optional.of(new CallerAccess(workspace, requiresKeys))
+        : Optional.empty();
+  }
+
   /** Returns the workspace that an API key belongs to. */
   public Optional<WorkspaceSettings> findWorkspace(String key) {
     return Optional.ofNullable(workspacesByKey.get(key));
--- a/core/src/test/java/org/goldcrestfall/core/gateway/GatewayConfigurationTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/gateway/GatewayConfigurationTest.java
@@ -19,6 +19,8 @@
           "a", new ServiceSettings("a", 10, Optional.empty(), Optional.empty()),
           "b", new ServiceSettings("b", 10, Optional.empty(), Optional.empty()));
 
+  private static final List<WorkspaceSettings> NO_WORKSPACES = List.of();
+
   private static Route route(String host, String prefix, int timeout, WeightedService... split) {
     return new Route(
         host + prefix,
@@ -42,7 +44,8 @@
 
   private static GatewayConfiguration of(List<Route> routes, List<WorkspaceSettings> workspaces)
       throws InvalidConfigurationException {
-    return new GatewayConfiguration(1, routes, SERVICES, ClientLimits.DEFAULT, workspaces);
+    return new GatewayConfiguration(
+        1, routes, SERVICES, ClientLimits.DEFAULT, Optional.of(workspaces));
   }
 
   private static WorkspaceSettings workspace(String name, String... keys) {
@@ -50,6 +53,28 @@
         name, ImmutableList.copyOf(keys), OptionalInt.empty(), OptionalLong.empty());
   }
 
+  /** Guards against routes that are open to all after the last workspace was taken away. */
+  @Example
+  void emptyListOfWorkspacesAdmitsNobodyAndNoListAdmitsAll() throws Exception {
+    Route route = route("h", "/");
+    Optional<String> known = Optional.of("k");
+    Optional<String> unknown = Optional.of("other");
+    GatewayConfiguration one = of(List.of(route), List.of(workspace("w", "k")));
+    assertThat(one.authenticate(route, known).orElseThrow().workspace()).isPresent();
+    assertThat(one.authenticate(route, known).orElseThrow().keyIsSecret()).isTrue();
+    assertThat(one.authenticate(route, unknown)).isEmpty();
+    for (List<WorkspaceSettings> none : List.of(List.of(workspace("w")), NO_WORKSPACES)) {
+      GatewayConfiguration c = of(List.of(route), none);
+      assertThat(c.authenticate(route, known)).isEmpty();
+      assertThat(c.authenticate(route, Optional.empty())).isEmpty();
+    }
+    GatewayConfiguration open =
+        new GatewayConfiguration(
+            1, List.of(route), SERVICES, ClientLimits.DEFAULT, Optional.empty());
+    CallerAccess access = open.authenticate(route, unknown).orElseThrow();
+    assertThat(access).isEqualTo(new CallerAccess(Optional.empty(), false));
+  }
+
   @Example
   void longestPrefixOfTheHostWins() throws Exception {
     GatewayConfiguration c =
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -23,6 +23,7 @@
 import org.goldcrestfall.core.dispatch.PromptPart;
 import org.goldcrestfall.core.dispatch.RequestSize;
 import org.goldcrestfall.core.dispatch.UpstreamLoad;
+import org.goldcrestfall.core.gateway.CallerAccess;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
 import org.goldcrestfall.core.gateway.Route;
 import org.goldcrestfall.core.gateway.RouteKind;
@@ -74,6 +75,7 @@
   private String service;
   private Optional<ServiceSettings> serviceSettings = Optional.empty();
   private WorkspaceSettings workspace;
+  private boolean keyIsSecret;
   private RequestSize requestSize = RequestSize.PLAIN;
   private long reservedTokens;
   private ScheduledFuture<?> timeout;
@@ -109,10 +111,13 @@
       return;
     }
     route = found.get();
-    if (!authenticate(configuration)) {
+    Optional<CallerAccess> access = configuration.authenticate(route, request.apiKey());
+    if (access.isEmpty()) {
       refuse(ErrorKind.UNAUTHENTICATED, "The key is not known.", 0);
       return;
     }
+    workspace = access.get().workspace().orElse(null);
+    keyIsSecret = access.get().keyIsSecret();
     if (!gateway.admits(remainingMillis(gateway.now()))) {
       refuseAsDraining();
       return;
@@ -152,14 +157,6 @@
     return true;
   }
 
-  private boolean authenticate(GatewayConfiguration configuration) {
-    if (configuration.workspaces().isEmpty()) {
-      return true;
-    }
-    workspace = request.apiKey().flatMap(configuration::findWorkspace).orElse(null);
-    return workspace != null || route.isPublic();
-  }
-
   private void reserveTokens() {
     long tokens = requestSize.maxTokens();
     if (workspace == null || tokens == 0 || !gateway.prepaid().isLimited(workspace.name())) {
@@ -340,7 +337,8 @@
   private FullHttpRequest upstreamRequest(Upstream upstream, long now) {
     GatewayHeaderNames headerNames = gateway.headerNames();
     FullHttpRequest forwarded = request.forUpstream(upstream.entry().id(), remainingMillis(now));
-    if (!gateway.configuration().workspaces().isEmpty()) {
+    // The configuration may have changed since the request was authenticated.
+    if (keyIsSecret || gateway.configuration().requiresKeys()) {
       forwarded.headers().remove(HttpHeaderNames.AUTHORIZATION);
     }
     if (workspace != null) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/FailingHandlerTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/FailingHandlerTest.java
@@ -66,7 +66,7 @@
             List.of(route("/safe/", RouteKind.SAFE, 3_000, 1, false)),
             Map.of("s", new ServiceSettings("s", 100, Optional.empty(), Optional.empty())),
             limits,
-            List.of());
+            Optional.empty());
     fixture.runOnLoop(() -> fixture.gateway.configurationChanged(configuration));
   }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -154,13 +154,17 @@
     var workspace =
         new WorkspaceSettings(
             "mill", ImmutableList.of("k"), OptionalInt.empty(), OptionalLong.empty());
+    configure(Optional.of(List.of(workspace)), routes);
+  }
+
+  void configure(Optional<List<WorkspaceSettings>> workspaces, Route... routes) throws Exception {
     var configuration =
         new GatewayConfiguration(
             1,
             List.of(routes),
             Map.of("s", new ServiceSettings("s", 100, Optional.empty(), Optional.empty())),
             ClientLimits.DEFAULT,
-            List.of(workspace));
+            workspaces);
     runOnLoop(() -> gateway.configurationChanged(configuration));
   }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -7,10 +7,12 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
+import org.goldcrestfall.core.gateway.Route;
 import org.goldcrestfall.core.gateway.RouteKind;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamState;
@@ -552,6 +554,59 @@
         .containsIgnoringCase("retry-after: ");
   }
 
+  /** Guards against a last workspace whose end opens all routes, also on open connections. */
+  @Example
+  void nobodyIsServedOnceTheLastWorkspaceIsTakenAway() throws Exception {
+    ScriptedUpstream u = fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    String head = "GET /safe/a HTTP/1.1\r\nHost: h\r\nX-Id: 7\r\n";
+    try (Socket open = fixture.connect()) {
+      GatewayFixture.send(open, head + "Authorization: Token k\r\n\r\n");
+      GatewayFixture.await(() -> u.calls.size() == 1);
+      fixture.configure(Optional.of(List.of()), route("/safe/", RouteKind.SAFE, 3_000, 2, false));
+      String rest =
+          GatewayFixture.sendRaw(
+              open, head + "Authorization: Token k\r\nConnection: close\r\n\r\n");
+      assertThat(rest).startsWith("HTTP/1.1 200 ").contains("HTTP/1.1 401 ");
+    }
+    for (String key : List.of("", "Authorization: Token other\r\n")) {
+      try (Socket socket = fixture.connect()) {
+        assertThat(GatewayFixture.sendRaw(socket, head + key + "Connection: close\r\n\r\n"))
+            .startsWith("HTTP/1.1 401 ");
+      }
+    }
+    assertThat(u.calls).hasSize(1);
+  }
+
+  /** Guards against keys that upstreams are shown, as on a public route without workspaces. */
+  @Example
+  void keysArePassedOnOnlyIfTheConfigurationNeedsNone() throws Exception {
+    ScriptedUpstream u = fixture.addUpstream("u1", c -> c.reply(200, SIGNED, "ok"));
+    fixture.configure(Optional.empty(), route("/safe/", RouteKind.SAFE, 3_000, 2, false));
+    assertThat(fixture.call("GET", "/safe/a", "", "")).startsWith("HTTP/1.1 200 ");
+    assertThat(u.calls.get(0).head()).containsIgnoringCase("authorization: Token k");
+    fixture.configure(Optional.of(List.of()), publicRoute("/safe/"));
+    assertThat(fixture.call("GET", "/safe/a", "", "")).startsWith("HTTP/1.1 200 ");
+    assertThat(u.calls.get(1).head()).doesNotContainIgnoringCase("authorization");
+  }
+
+  private static Route publicRoute(String prefix) {
+    Route r = route(prefix, RouteKind.SAFE, 3_000, 2, false);
+    return new Route(
+        r.name(),
+        r.host(),
+        r.pathPrefix(),
+        r.kind(),
+        r.timeoutMillis(),
+        r.targetMillis(),
+        r.priority(),
+        r.split(),
+        r.maxAttempts(),
+        true,
+        r.hasPrompts(),
+        r.resumable(),
+        r.targetGapMillis());
+  }
+
   /** Guards against a closed connection in place of a response. */
   @Example
   void upstreamWhoseAddressCannotBeConnectedToIsIgnored() throws Exception {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -15,6 +15,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
@@ -90,7 +91,7 @@
             List.of(),
             Map.of(),
             ClientLimits.DEFAULT,
-            List.of(workspace));
+            Optional.of(List.of(workspace)));
       };
 
   final Map<String, ControlDaemon> controls = new LinkedHashMap<>();
