Take responses that are reset during an upload for failed

Cause: the reset failed a write, which closes the channel without an exception on the reading side. The end of the channel then ended the response.

A response that ends with its connection is complete only if the whole request has been written.

An answer with the status 000 never reached a caller; tests of routers and of the product's own client show it and were not seen failing. CutResponseTest, GatewayTest and the other tests of responses pass.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -83,6 +83,7 @@
   private long skippedBytes;
   private int skippedResponses;
   private boolean headReceived;
+  private boolean endsWithConnection;
   private boolean responseComplete;
   private boolean reusable;
   private boolean reused;
@@ -111,6 +112,7 @@
     receiver = responseReceiver;
     requestId = id;
     headReceived = false;
+    endsWithConnection = false;
     responseComplete = false;
     skippingResponse = false;
     skippedBytes = 0;
@@ -201,7 +203,8 @@
       return;
     }
     headReceived = true;
-    reusable = HttpUtil.isKeepAlive(head) && ResponseHeads.hasDefinedLength(head);
+    endsWithConnection = !ResponseHeads.hasDefinedLength(head);
+    reusable = HttpUtil.isKeepAlive(head) && !endsWithConnection;
     readKeepAliveTimeout(head);
     receiver.onHead(head);
   }
@@ -217,7 +220,7 @@
 
   private void onContent(HttpContent content) {
     boolean last = content instanceof LastHttpContent;
-    if (content.decoderResult().isFailure() || last && channelFailed) {
+    if (content.decoderResult().isFailure() || last && isBrokenOff()) {
       fail("malformed or truncated response body");
       return;
     }
@@ -241,6 +244,14 @@
     }
   }
 
+  /**
+   * Returns whether the end of the connection is no end of the response. A reset is reported to the
+   * first call that notices it; if that is a write of the request, the channel just closes.
+   */
+  private boolean isBrokenOff() {
+    return channelFailed || endsWithConnection && !requestWritten.isSuccess();
+  }
+
   @Override
   public void channelReadComplete(ChannelHandlerContext c) {
     if (receiver == null) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -67,6 +67,7 @@
 
   private static final int TIMEOUT_SECONDS = 10;
   private static final double RETRY_SLACK = 100;
+  private static final long MAX_BUFFERED_BYTES = 1 << 20;
 
   final Gateway gateway;
 
@@ -95,10 +96,11 @@
    * @param seeds supplies the peer addresses of control daemons
    */
   GatewayFixture(Supplier<List<String>> seeds) throws Exception {
-    this(seeds, RETRY_SLACK);
+    this(seeds, RETRY_SLACK, MAX_BUFFERED_BYTES);
   }
 
-  private GatewayFixture(Supplier<List<String>> seeds, double retrySlack) throws Exception {
+  private GatewayFixture(Supplier<List<String>> seeds, double retrySlack, long maxBufferedBytes)
+      throws Exception {
     MillisClock running = MillisClock.monotonic();
     MillisClock clock =
         () -> {
@@ -112,7 +114,7 @@
             eventLoopGroup);
     gateway =
         new Gateway(
-            new GatewaySettings("z", 0.2, retrySlack, 10_000, 1 << 20, 16 << 20),
+            new GatewaySettings("z", 0.2, retrySlack, 10_000, maxBufferedBytes, 16 << 20),
             HEADER_NAMES,
             loop,
             clock,
@@ -129,7 +131,12 @@
 
   /** Starts a router that reaches no control daemon and may send requests again without limit. */
   static GatewayFixture withUnlimitedRetries() throws Exception {
-    return new GatewayFixture(() -> List.of("127.0.0.1:1"), 1e9);
+    return new GatewayFixture(() -> List.of("127.0.0.1:1"), 1e9, MAX_BUFFERED_BYTES);
+  }
+
+  /** Starts a router that reaches no control daemon and takes long uploads. */
+  static GatewayFixture withLongUploads() throws Exception {
+    return new GatewayFixture(() -> List.of("127.0.0.1:1"), RETRY_SLACK, 16 << 20);
   }
 
   static Route route(
--- a/daemon/src/test/java/org/goldcrestfall/daemon/upstream/CutResponseClientTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/upstream/CutResponseClientTest.java
@@ -34,6 +34,10 @@
   private static final int MILLIS_BEFORE_RESET = 2;
 
   private static final long TIMEOUT_MILLIS = 5_000;
+
+  /** More than the buffers of a connection on loopback hold. */
+  private static final int UPLOAD_BYTES = 8_000_000;
+
   private static final List<String> EVENTS =
       List.of(
           "data: {\"offset\":0,\"choices\":[{\"delta\":{\"content\":\"a\"}}]}\n\n",
@@ -156,6 +160,36 @@
         });
   }
 
+  /** The reset then fails a write of the request, and the end of the response looks orderly. */
+  @Example
+  void responseOfServiceThatIsResetDuringUploadFailsTheCall() {
+    ServiceClient client = new ServiceClient(system);
+    HttpRequest upload =
+        HttpRequest.POST("http://" + address + "/a").withEntity(new byte[UPLOAD_BYTES]);
+    response = "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n\r\npart";
+    reset = true;
+    for (int i = 0; i < 10; i++) {
+      assertThat(client.call(address, upload, TIMEOUT_MILLIS))
+          .failsWithin(10, TimeUnit.SECONDS)
+          .withThrowableOfType(ExecutionException.class)
+          .matches(e -> !(HttpResponses.unwrap(e) instanceof NotSentException));
+    }
+  }
+
+  @Example
+  void statusThatIsNoneFailsTheCall() {
+    ServiceClient client = new ServiceClient(system);
+    HttpRequest request = HttpRequest.POST("http://" + address + "/a").withEntity("in");
+    for (String status : List.of("000", "001", "099", "600", "999")) {
+      response = "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\nok";
+      assertThat(client.call(address, request, TIMEOUT_MILLIS))
+          .as(status)
+          .failsWithin(10, TimeUnit.SECONDS)
+          .withThrowableOfType(ExecutionException.class)
+          .matches(e -> !(HttpResponses.unwrap(e) instanceof NotSentException));
+    }
+  }
+
   @Example
   void cutStreamOfEngineFailsAfterWholeTokens() throws Exception {
     EngineClient client = new EngineClient(system);
