Compare member lists once for each change

Whether the newest list changes the voters is worked out when a list is appended, not at each commit.

--- a/core/src/main/java/org/goldcrestfall/core/consensus/Log.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Log.java
@@ -20,6 +20,7 @@
   private long baseTerm;
   private final List<Entry> entries = new ArrayList<>();
   private final TreeMap<Long, Members> members = new TreeMap<>();
+  private boolean changesVoters;
 
   Log(Snapshot snapshot, List<Entry> stored, Limits limits) {
     this.limits = limits;
@@ -74,12 +75,14 @@
     entries.add(entry);
     if (entry.type() == Entry.Type.MEMBERS) {
       members.put(entry.index(), Members.fromBytes(entry.payload()));
+      compareVoters();
     }
   }
 
   void truncateFrom(long index) {
     entries.subList((int) (index - baseIndex - 1), entries.size()).clear();
     members.tailMap(index, true).clear();
+    compareVoters();
   }
 
   /** Replaces the whole log by a snapshot. */
@@ -90,6 +93,7 @@
     entries.clear();
     members.clear();
     members.put(baseIndex, newSnapshot.members());
+    compareVoters();
   }
 
   /**
@@ -107,6 +111,7 @@
     baseIndex = base;
     members.headMap(base, true).clear();
     members.put(base, membersAtBase);
+    compareVoters();
   }
 
   /** Returns the newest member list, whether or not it is committed. */
@@ -121,8 +126,13 @@
 
   /** Returns whether the newest member list has other voters than the list before it. */
   boolean changesVoters() {
-    return membersIndex() > baseIndex
-        && !voterIds(members()).equals(voterIds(membersAt(membersIndex() - 1)));
+    return changesVoters;
+  }
+
+  private void compareVoters() {
+    changesVoters =
+        membersIndex() > baseIndex
+            && !voterIds(members()).equals(voterIds(membersAt(membersIndex() - 1)));
   }
 
   private static Set<String> voterIds(Members list) {
--- a/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusRulesTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusRulesTest.java
@@ -252,4 +252,38 @@
     apply(leader, new Event.Tick());
     assertThat(leader.role()).isEqualTo(Role.FOLLOWER);
   }
+
+  /**
+   * Guards against two leaders in a term: a voter that loses its disk during an election may have
+   * voted for another candidate before.
+   */
+  @Example
+  void diskThatIsLostDuringElectionDoesNotReduceItsQuorum() {
+    Members six = members("a#1", "b#1", "c#1", "d#1", "e#1", "f#1");
+    Consensus member =
+        start(new PersistentState(HardState.INITIAL, Snapshot.initial(six), List.of()));
+    startElection(member);
+    apply(member, new Event.DiskLost("f#1"));
+    receiveVotes(member, 2);
+    assertThat(member.role()).isEqualTo(Role.CANDIDATE);
+    startElection(member);
+    receiveVotes(member, 2);
+    assertThat(member.role()).isEqualTo(Role.LEADER);
+  }
+
+  /** Makes a member of six hold an election, whose pre-vote it wins. */
+  private void startElection(Consensus member) {
+    now += TIMING.electionMaxMillis();
+    apply(member, new Event.Tick());
+    for (String voter : List.of("b#1", "c#1", "d#1")) {
+      receive(member, new Message.VoteReply(voter, "a#1", member.term() + 1, true, true));
+    }
+    assertThat(member.role()).isEqualTo(Role.CANDIDATE);
+  }
+
+  private void receiveVotes(Consensus member, int count) {
+    for (String voter : List.of("b#1", "c#1").subList(0, count)) {
+      receive(member, new Message.VoteReply(voter, "a#1", member.term(), true, false));
+    }
+  }
 }
