Require the list before an uncommitted one only where half may decide

The log shows why: of three members one had just got its vote back, the leader ended before the others knew that this was committed, and both held out for the quorum of the list of two before it, which the ended leader belonged to.

The quorum of the list before an uncommitted one is now needed only if half may decide in that list, and half may decide only in groups that bear the loss of disks and have more voters than they need for it. An uncommitted list of an even number is halved only together with a majority of the list before it.

--- a/core/src/main/java/org/goldcrestfall/core/consensus/GroupPolicy.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/GroupPolicy.java
@@ -30,6 +30,11 @@
     return new GroupPolicy(lostDisks + 1, false, true);
   }
 
+  /** Returns whether a disk may be lost without loss of acknowledged commands. */
+  boolean bearsLostDisks() {
+    return durableCopies > 1;
+  }
+
   /**
    * Returns the smallest number of voters that still have a quorum after the loss of as many disks
    * as acknowledged commands survive.
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Membership.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Membership.java
@@ -43,7 +43,7 @@
     if (!leader.isEstablished() || replica.log.membersIndex() > replica.commitIndex) {
       return;
     }
-    if (replica.log.changesVoters()) {
+    if (replica.log.changesVoters() && isHalvedListInvolved()) {
       // The repeated list is the proof in the log that the change is committed; see Quorum.
       leader.changeMembers(members());
       return;
@@ -71,6 +71,12 @@
     removeLostVoter();
   }
 
+  private boolean isHalvedListInvolved() {
+    Members before = replica.log.membersAt(replica.log.membersIndex() - 1);
+    return Quorum.mayBeHalved(members(), replica.policy)
+        || Quorum.mayBeHalved(before, replica.policy);
+  }
+
   /**
    * Removes a lost voter from an open group if that costs no tolerance of failures. A group with an
    * even number of voters tolerates no more failures than one with one voter fewer. One with an odd
--- a/core/src/main/java/org/goldcrestfall/core/consensus/Replica.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/Replica.java
@@ -115,7 +115,7 @@
 
   /** Returns the quorum of a leader or candidate. */
   Quorum quorum(Set<String> lostBeforeElection) {
-    return Quorum.of(log, commitIndex, lostBeforeElection);
+    return Quorum.of(log, commitIndex, lostBeforeElection, policy);
   }
 
   long term() {
