--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -7,11 +7,8 @@
 import io.netty.channel.EventLoopGroup;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
-import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,9 +18,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
+import java.util.stream.IntStream;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.gateway.ClientLimits;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
@@ -50,6 +49,7 @@
   static final String UNUSABLE_PREFIX = "unusable-";
 
   private static final int TIMEOUT_SECONDS = 20;
+  private static final int FIRST_CONTROL_PORT = 17_080;
 
   /** A running control daemon. */
   record ControlDaemon(
@@ -96,7 +96,14 @@
 
   final Map<String, ControlDaemon> controls = new LinkedHashMap<>();
   private final Path folder = Files.createTempDirectory("site");
-  private final List<Integer> ports = new ArrayList<>();
+  // The system gives ports of 127.0.0.1 to outgoing connections of other processes.
+  private final String ip =
+      "127."
+          + ThreadLocalRandom.current().nextInt(1, 255)
+          + "."
+          + ThreadLocalRandom.current().nextInt(255)
+          + ".1";
+  private final List<String> addresses;
   private final EventLoopGroup eventLoopGroup =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = (EventLoop) eventLoopGroup.next();
@@ -105,11 +112,8 @@
 
   /** Starts a number of control daemons. */
   public SiteFixture(int count) throws Exception {
-    for (int i = 0; i < count; i++) {
-      try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-        ports.add(s.getLocalPort());
-      }
-    }
+    addresses =
+        IntStream.range(0, count).mapToObj(i -> ip + ":" + (FIRST_CONTROL_PORT + i)).toList();
     for (int i = 0; i < count; i++) {
       startControl(i, true);
     }
@@ -117,7 +121,7 @@
 
   /** Returns the peer addresses of the control daemons. */
   public List<String> addresses() {
-    return ports.stream().map(p -> "127.0.0.1:" + p).toList();
+    return addresses;
   }
 
   /**
@@ -131,7 +135,7 @@
     String address = addresses().get(index);
     NettyPeerTransport transport =
         new NettyPeerTransport(
-            settings(host, ports.get(index)), TransportListener.NONE, eventLoopGroup);
+            settings(host, FIRST_CONTROL_PORT + index), TransportListener.NONE, eventLoopGroup);
     SiteStateMachine machine = new SiteStateMachine();
     ControlReplica replica =
         ControlReplica.open(
@@ -249,8 +253,8 @@
     return loop;
   }
 
-  private static PeerSettings settings(String host, int port) {
-    return new PeerSettings(host, "127.0.0.1", port, "test", new byte[16]);
+  private PeerSettings settings(String host, int port) {
+    return new PeerSettings(host, ip, port, "test", new byte[16]);
   }
 
   /** Runs a call on the event loop and waits for its result. */
