Let the fixture build public routes

GatewayTest copied a route component by component to change one of them. The number of votes in ConsensusRulesTest was always two. No assertion changes.

--- a/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusRulesTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/ConsensusRulesTest.java
@@ -271,10 +271,10 @@
             now);
     startElection(member);
     apply(member, new Event.DiskLost("f#1"));
-    receiveVotes(member, 2);
+    receiveTwoVotes(member);
     assertThat(member.role()).isEqualTo(Role.CANDIDATE);
     startElection(member);
-    receiveVotes(member, 2);
+    receiveTwoVotes(member);
     assertThat(member.role()).isEqualTo(Role.LEADER);
   }
 
@@ -288,8 +288,8 @@
     assertThat(member.role()).isEqualTo(Role.CANDIDATE);
   }
 
-  private void receiveVotes(Consensus member, int count) {
-    for (String voter : List.of("b#1", "c#1").subList(0, count)) {
+  private void receiveTwoVotes(Consensus member) {
+    for (String voter : List.of("b#1", "c#1")) {
       receive(member, new Message.VoteReply(voter, "a#1", member.term(), true, false));
     }
   }
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -141,6 +141,16 @@
 
   static Route route(
       String prefix, RouteKind kind, int timeoutMillis, int maxAttempts, boolean resumable) {
+    return route(prefix, kind, timeoutMillis, maxAttempts, false, resumable);
+  }
+
+  private static Route route(
+      String prefix,
+      RouteKind kind,
+      int timeoutMillis,
+      int maxAttempts,
+      boolean isPublic,
+      boolean resumable) {
     return new Route(
         prefix,
         "h",
@@ -151,12 +161,17 @@
         0,
         ImmutableList.of(new WeightedService("s", 1)),
         maxAttempts,
-        false,
+        isPublic,
         false,
         resumable,
         500);
   }
 
+  /** Returns a route on which requests need no key. */
+  static Route publicRoute(String prefix, RouteKind kind, int timeoutMillis, int maxAttempts) {
+    return route(prefix, kind, timeoutMillis, maxAttempts, true, false);
+  }
+
   void configure(Route... routes) throws Exception {
     var workspace =
         new WorkspaceSettings(
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayTest.java
@@ -1,6 +1,7 @@
 package org.goldcrestfall.daemon.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.goldcrestfall.daemon.gateway.GatewayFixture.publicRoute;
 import static org.goldcrestfall.daemon.gateway.GatewayFixture.route;
 
 import com.google.common.base.Splitter;
@@ -12,7 +13,6 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
 import net.jqwik.api.lifecycle.BeforeTry;
-import org.goldcrestfall.core.gateway.Route;
 import org.goldcrestfall.core.gateway.RouteKind;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamState;
@@ -584,29 +584,11 @@
     fixture.configure(Optional.empty(), route("/safe/", RouteKind.SAFE, 3_000, 2, false));
     assertThat(fixture.call("GET", "/safe/a", "", "")).startsWith("HTTP/1.1 200 ");
     assertThat(u.calls.get(0).head()).containsIgnoringCase("authorization: Token k");
-    fixture.configure(Optional.of(List.of()), publicRoute("/safe/"));
+    fixture.configure(Optional.of(List.of()), publicRoute("/safe/", RouteKind.SAFE, 3_000, 2));
     assertThat(fixture.call("GET", "/safe/a", "", "")).startsWith("HTTP/1.1 200 ");
     assertThat(u.calls.get(1).head()).doesNotContainIgnoringCase("authorization");
   }
 
-  private static Route publicRoute(String prefix) {
-    Route r = route(prefix, RouteKind.SAFE, 3_000, 2, false);
-    return new Route(
-        r.name(),
-        r.host(),
-        r.pathPrefix(),
-        r.kind(),
-        r.timeoutMillis(),
-        r.targetMillis(),
-        r.priority(),
-        r.split(),
-        r.maxAttempts(),
-        true,
-        r.hasPrompts(),
-        r.resumable(),
-        r.targetGapMillis());
-  }
-
   /** Guards against a closed connection in place of a response. */
   @Example
   void upstreamWhoseAddressCannotBeConnectedToIsIgnored() throws Exception {
