Delete data folders of tests by Guava

The soak's loseDisk() repeated the loop of FakeHosts and ProcessCluster, which PeerServiceTest already leaves to MoreFiles. No assertion changes.

--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/FakeHosts.java
@@ -1,13 +1,13 @@
 package org.goldcrestfall.daemon.control;
 
+import static com.google.common.io.RecursiveDeleteOption.ALLOW_INSECURE;
 import static java.nio.charset.StandardCharsets.UTF_8;
 
 import com.google.common.collect.ImmutableSortedMap;
+import com.google.common.io.MoreFiles;
 import java.io.IOException;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -15,7 +15,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Stream;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.consensus.GroupPolicy;
 import org.goldcrestfall.core.consensus.Role;
@@ -116,11 +115,7 @@
   }
 
   void loseDisk(String host) throws IOException {
-    try (Stream<Path> files = Files.walk(folder.resolve(host))) {
-      for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
-        Files.delete(path);
-      }
-    }
+    MoreFiles.deleteRecursively(folder.resolve(host), ALLOW_INSECURE);
   }
 
   Path folderOf(String host) {
--- a/standin/src/test/java/org/goldcrestfall/standin/process/ProcessCluster.java
+++ b/standin/src/test/java/org/goldcrestfall/standin/process/ProcessCluster.java
@@ -1,8 +1,11 @@
 package org.goldcrestfall.standin.process;
 
+import static com.google.common.io.RecursiveDeleteOption.ALLOW_INSECURE;
+
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
 import com.google.common.hash.Hashing;
+import com.google.common.io.MoreFiles;
 import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -14,14 +17,12 @@
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 
 /**
  * A cluster of three daemons in both roles, a stand-in engine and a stand-in service, each a
@@ -158,11 +159,7 @@
   }
 
   void deleteDataFolder(String host) throws IOException {
-    try (Stream<Path> paths = Files.walk(dataFolder(host))) {
-      for (Path p : paths.sorted(Comparator.reverseOrder()).toList()) {
-        Files.delete(p);
-      }
-    }
+    MoreFiles.deleteRecursively(dataFolder(host), ALLOW_INSECURE);
   }
 
   /** Kills a process of this cluster with SIGKILL and waits for its end. */
