Submit a command in each phase of FullDisksTest

With 0 ms no command was submitted, and the test failed by its own check that there is one. Change: each phase submits one command or more, whatever its duration.

--- a/daemon/src/test/java/org/goldcrestfall/daemon/control/FullDisksTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/control/FullDisksTest.java
@@ -29,8 +29,10 @@
   private static final int ROUNDS = 10;
   private static final int SNAPSHOT_ENTRIES = 25;
   private static final int COMMAND_BYTES = 40;
+  private static final long COMMAND_TIMEOUT_MILLIS = 900;
 
   private final Map<String, FakeDisk> disks = new HashMap<>();
+  private final List<CompletableFuture<byte[]>> replies = new ArrayList<>();
   private FakeHosts hosts;
 
   @AfterTry
@@ -39,6 +41,7 @@
   }
 
   private void start() throws IOException {
+    replies.clear();
     hosts = FakeHosts.open(Files.createTempDirectory("full-disks"), MEMBERS, 3, SNAPSHOT_ENTRIES);
     for (int i = 0; i < MEMBERS; i++) {
       disks.put("h" + i, new FakeDisk());
@@ -58,6 +61,7 @@
       disks.get(full).setRefusesWrites(false);
       submitFor(random.nextInt(300), random);
     }
+    FakeHosts.await(() -> replies.stream().allMatch(CompletableFuture::isDone));
     for (String host : disks.keySet()) {
       FakeHosts.submit(hosts.localClient(host), "x" + host);
       FakeHosts.await(() -> hosts.replica(host).status().isReady());
@@ -69,15 +73,14 @@
     assertThat(Collections.frequency(commands, commands.get(0))).isEqualTo(MEMBERS);
   }
 
+  /** Submits one command or more. */
   private void submitFor(long millis, Random random) throws Exception {
     long end = hosts.clock.nowMillis() + millis;
-    List<CompletableFuture<byte[]>> replies = new ArrayList<>();
-    while (hosts.clock.nowMillis() < end) {
+    do {
       String host = "h" + random.nextInt(MEMBERS);
       byte[] command = ("c" + random.nextInt(1_000_000)).repeat(COMMAND_BYTES / 7).getBytes(UTF_8);
-      replies.add(hosts.localClient(host).submit(command, 900));
+      replies.add(hosts.localClient(host).submit(command, COMMAND_TIMEOUT_MILLIS));
       TimeUnit.MILLISECONDS.sleep(5);
-    }
-    assertThat(replies).isNotEmpty();
+    } while (hosts.clock.nowMillis() < end);
   }
 }
