--- a/platform/src/test/java/org/goldcrestfall/platform/LoopbackAddresses.java
+++ b/core/src/test/java/org/goldcrestfall/core/common/LoopbackAddresses.java
@@ -1,4 +1,4 @@
-package org.goldcrestfall.platform;
+package org.goldcrestfall.core.common;
 
 import java.util.concurrent.ThreadLocalRandom;
 
@@ -11,7 +11,7 @@
   private LoopbackAddresses() {}
 
   /** Returns an address in a random network. */
-  static String next() {
+  public static String next() {
     return nextNetwork() + ".1";
   }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteFixture.java
@@ -18,11 +18,11 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
-import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.stream.IntStream;
+import org.goldcrestfall.core.common.LoopbackAddresses;
 import org.goldcrestfall.core.common.MillisClock;
 import org.goldcrestfall.core.gateway.ClientLimits;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
@@ -96,13 +96,7 @@
 
   final Map<String, ControlDaemon> controls = new LinkedHashMap<>();
   private final Path folder = Files.createTempDirectory("site");
-  // The system gives ports of 127.0.0.1 to outgoing connections of other processes.
-  private final String ip =
-      "127."
-          + ThreadLocalRandom.current().nextInt(1, 255)
-          + "."
-          + ThreadLocalRandom.current().nextInt(255)
-          + ".1";
+  private final String ip = LoopbackAddresses.next();
   private final List<String> addresses;
   private final EventLoopGroup eventLoopGroup =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
