Give the processes of ClusterProcessTest addresses of their own

The twin of the fault of PlatformMainTest and SiteTest, by reading: the cluster took ports of 127.0.0.1 that were free at the time, and daemons that are killed are started again at theirs. Another process could have them by then. Each process has a loopback address of its own now, with fixed ports, so nothing looks for free ones. Not seen failing; ClusterProcessTest and BadInputProcessTest pass.

--- a/standin/src/test/java/org/goldcrestfall/standin/process/ProcessCluster.java
+++ b/standin/src/test/java/org/goldcrestfall/standin/process/ProcessCluster.java
@@ -7,7 +7,6 @@
 import com.google.common.hash.Hashing;
 import com.google.common.io.MoreFiles;
 import java.io.IOException;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -23,6 +22,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
+import org.goldcrestfall.core.common.LoopbackAddresses;
 
 /**
  * A cluster of three daemons in both roles, a stand-in engine and a stand-in service, each a
@@ -37,6 +37,9 @@
   private static final long POLL_INTERVAL_MILLIS = 100;
   private static final String OPERATOR_TOKEN = "operator-token";
   private static final String UPSTREAM_KEY = "upstream-key";
+  private static final int HTTP_PORT = 17_080;
+  private static final int PEER_PORT = 17_081;
+  private static final List<String> HOSTS = List.of("h1", "h2", "h3");
   private static final Path PROJECT_ROOT = Path.of("..").toAbsolutePath().normalize();
   private static final Path DAEMON_JAR = PROJECT_ROOT.resolve("daemon/target/goldcrestfalld.jar");
   private static final Path STANDIN_JAR =
@@ -46,34 +49,28 @@
   private final HttpClient http =
       HttpClient.newBuilder().connectTimeout(Duration.ofSeconds(2)).build();
   private final Map<String, Process> processes = new LinkedHashMap<>();
-  private final Map<String, Integer> httpPorts = new TreeMap<>();
-  private final Map<String, Integer> peerPorts = new TreeMap<>();
-  private final int servicePort;
+  private final String network = LoopbackAddresses.nextNetwork();
+  private final String engineIp = network + ".4";
+  private final String serviceIp = network + ".5";
   private int operationCount;
 
   ProcessCluster(Path folder, int tokenIntervalMillis) throws Exception {
     this.folder = folder;
-    List<Integer> ports = freePorts(8);
-    for (int i = 0; i < 3; i++) {
-      httpPorts.put("h" + (i + 1), ports.get(2 * i));
-      peerPorts.put("h" + (i + 1), ports.get(2 * i + 1));
-    }
-    servicePort = ports.get(7);
     for (String host : hosts()) {
       startDaemon(host);
     }
-    List<String> routers = hosts().stream().map(h -> "127.0.0.1:" + httpPorts.get(h)).toList();
+    List<String> routers = hosts().stream().map(h -> ip(h) + ":" + HTTP_PORT).toList();
     List<String> commonArguments =
         List.of("--routers", String.join(",", routers), "--upstream-key", UPSTREAM_KEY);
     startStandin(
         "engine",
-        ports.get(6),
+        engineIp,
         commonArguments,
         "--models",
         "hull-1",
         "--token-interval-millis",
         String.valueOf(tokenIntervalMillis));
-    startStandin("service", servicePort, commonArguments, "--service", "mill");
+    startStandin("service", serviceIp, commonArguments, "--service", "mill");
     for (String host : hosts()) {
       awaitReady(host);
       await(
@@ -83,7 +80,11 @@
   }
 
   List<String> hosts() {
-    return List.copyOf(httpPorts.keySet());
+    return HOSTS;
+  }
+
+  private String ip(String host) {
+    return network + "." + (HOSTS.indexOf(host) + 1);
   }
 
   void startDaemon(String host) throws IOException {
@@ -98,10 +99,12 @@
   }
 
   private void startStandin(
-      String kind, int port, List<String> commonArguments, String... extraArguments)
+      String kind, String ip, List<String> commonArguments, String... extraArguments)
       throws IOException {
     List<String> args =
-        new ArrayList<>(List.of(kind, "--name", kind + "-1", "--port", String.valueOf(port)));
+        new ArrayList<>(
+            List.of(
+                kind, "--name", kind + "-1", "--address", ip, "--port", String.valueOf(HTTP_PORT)));
     args.addAll(commonArguments);
     args.addAll(List.of(extraArguments));
     startProcess(
@@ -129,24 +132,24 @@
     StringBuilder seeds = new StringBuilder();
     for (String h : hosts()) {
       String comma = members.length() == 0 ? "" : ", ";
-      String address = "127.0.0.1:" + peerPorts.get(h);
+      String address = ip(h) + ":" + PEER_PORT;
       members.append(comma).append("{\"host\": \"%s\", \"address\": \"%s\"}".formatted(h, address));
       seeds.append(comma).append('"').append(address).append('"');
     }
     String template =
         """
-        {"host": "%s", "zone": "zone-%s", "roles": ["router", "control"],
-         "http": {"address": "127.0.0.1", "port": %d},
-         "peer": {"address": "127.0.0.1", "port": %d, "key": "0123456789abcdef0123"},
-         "seeds": [%s], "controlMembers": [%s], "dataFolder": "%s",
-         "operators": [{"name": "ana", "tokenSha256": "%s"}], "upstreamKeySha256": "%s",
+        {"host": "%1$s", "zone": "zone-%1$s", "roles": ["router", "control"],
+         "http": {"address": "%2$s", "port": %3$d},
+         "peer": {"address": "%2$s", "port": %4$d, "key": "0123456789abcdef0123"},
+         "seeds": [%5$s], "controlMembers": [%6$s], "dataFolder": "%7$s",
+         "operators": [{"name": "ana", "tokenSha256": "%8$s"}], "upstreamKeySha256": "%9$s",
          "drain": {"notReadyMillis": 100, "maxMillis": 60000}}
         """;
     return template.formatted(
         host,
-        host,
-        httpPorts.get(host),
-        peerPorts.get(host),
+        ip(host),
+        HTTP_PORT,
+        PEER_PORT,
         seeds,
         members,
         dataFolder(host),
@@ -316,7 +319,8 @@
   /** Returns the number of times that the service has run each booking, by request id. */
   Map<String, Integer> bookingRuns() throws Exception {
     HttpRequest r =
-        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + servicePort + "/stats")).build();
+        HttpRequest.newBuilder(URI.create("http://" + serviceIp + ":" + HTTP_PORT + "/stats"))
+            .build();
     JsonNode runs =
         MAPPER.readTree(http.send(r, HttpResponse.BodyHandlers.ofString()).body()).path("runs");
     Map<String, Integer> runsByRequestId = new TreeMap<>();
@@ -339,7 +343,7 @@
   /** Sends a request to the HTTP address of a host. */
   HttpResponse<String> send(String host, HttpRequest.Builder r, String path)
       throws IOException, InterruptedException {
-    URI uri = URI.create("http://127.0.0.1:" + httpPorts.get(host) + path);
+    URI uri = URI.create("http://" + ip(host) + ":" + HTTP_PORT + path);
     return http.send(r.uri(uri).build(), HttpResponse.BodyHandlers.ofString());
   }
 
@@ -347,20 +351,6 @@
     return Hashing.sha256().hashString(text, StandardCharsets.UTF_8).toString();
   }
 
-  /** Returns distinct ports that are free now; another process may still take one. */
-  private static List<Integer> freePorts(int count) throws IOException {
-    List<ServerSocket> sockets = new ArrayList<>();
-    List<Integer> ports = new ArrayList<>();
-    for (int i = 0; i < count; i++) {
-      sockets.add(new ServerSocket(0));
-      ports.add(sockets.get(i).getLocalPort());
-    }
-    for (ServerSocket s : sockets) {
-      s.close();
-    }
-    return ports;
-  }
-
   @Override
   public void close() throws InterruptedException {
     for (String name : List.copyOf(processes.keySet())) {
