Show that a late departure takes a new process of a worker out for good

A worker that starts again under its id is marked as departed when the deregister call of its earlier process arrives after its heartbeats. The mark has the highest sequence number, so no heartbeat of the new process counts.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# A tenant asks for more than its balance, and the router that refused it is killed.
-# Exits with 1 if too many covered requests are denied afterwards, 0 if not, 2 if it could not run.
+# Workers start again under their ids, and the calls with which they left before arrive late.
+# Exits with 1 if their route is starved for good, 0 if not, 2 if the case could not run.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 [[ -d target/review-3 && -f target/goldcrestfall-platform.jar ]] || exit 2
-exec java -cp target/review-3 Stranded . review/12/record.txt
+exec java -cp target/review-3 Late . review/12/record.txt
