--- a/review/standin-3/Fleet.java
+++ b/review/standin-3/Fleet.java
@@ -96,6 +96,13 @@
       }
     }
 
+    /** Replaces the disk by an empty one; the process must have ended. */
+    void loseDisk() throws IOException {
+      try (Stream<Path> files = Files.walk(folder.resolve("data"))) {
+        files.filter(Files::isRegularFile).forEach(p -> p.toFile().delete());
+      }
+    }
+
     private String settings(boolean bootstrap) throws IOException {
       Map<String, String> values = new HashMap<>();
       values.put("NodeName", quote(name));
@@ -110,7 +117,7 @@
           "Seeds", controls.stream().limit(3).map(c -> quote(c.operators())).toList().toString());
       values.put("Bootstrap", String.valueOf(bootstrap));
       values.put("DataDir", router ? "null" : quote(folder.resolve("data").toString()));
-      values.put("FaultTolerance.Machines", String.valueOf((controls.size() - 1) / 2));
+      values.put("FaultTolerance.Machines", String.valueOf(lostMachines));
       values.put("Limits.MemoryMb", router ? "352" : "426");
       values.put("Bounds.GraceS", "8");
       values.put("Bounds.RetryBudgetRatio", "0.2");
@@ -127,12 +134,14 @@
   final List<Node> routers = new ArrayList<>();
   private final Path root;
   private final Path folder;
+  private final int lostMachines;
   private final String addressPrefix;
   private int addresses;
 
   /** Starts a fleet; {@code root} is the checkout. */
   Fleet(Path root, int controlCount, int routerCount) throws IOException {
     this.root = root;
+    lostMachines = (controlCount - 1) / 2;
     folder = Files.createTempDirectory("review-3");
     Random random = new Random();
     addressPrefix = "127." + (20 + random.nextInt(200)) + "." + (1 + random.nextInt(250)) + ".";
@@ -147,6 +156,14 @@
     }
   }
 
+  /** Adds a control machine with an empty disk at an address of its own, and starts it. */
+  Node addControl() throws IOException {
+    Node node = new Node(false, controls.size());
+    controls.add(node);
+    node.start(false);
+    return node;
+  }
+
   /** Returns a loopback address that no other process of this script uses. */
   synchronized String nextAddress() {
     return addressPrefix + ++addresses;
