--- a/review/15/run.sh
+++ b/review/15/run.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
-# Workers in need state for some seconds that they take no requests, and then recover.
-# Exits with 1 if their route is starved for good, 0 if not, 2 if the case could not run.
+# A part of prompts crashes each worker that has begun to answer; sound requests come all the time.
+# Exits with 1 if sound requests begin too seldom, 0 if not, 2 if the case could not run.
 cd "$(dirname "${BASH_SOURCE[0]}")/../.." || exit 2
 [[ -d target/review-3 && -f target/goldcrestfall-platform.jar ]] || exit 2
-exec java -cp target/review-3 ZeroLimit . review/15/record.txt
+exec java -cp target/review-3 Poison . review/15/record.txt
