Find prompt parts that crash upstreams at any point of an answer

Cause: a router reported lost requests only without any event, and the first event of an answer cleared the parts of its prompt. A first event proves nothing.

A stream is not resumed again under a part with other crashes. Whether an upstream has crashed is decided by a refused connection or a later incarnation, no longer by a timeout, and not for one that leaves. The protocol version COUNTED_LOSSES switches the rule; members apply the earlier one until all support it, and take its reports and quarantines over.

MembersTest names the versions by their constants.

--- a/core/src/main/java/org/goldcrestfall/core/consensus/ProtocolVersion.java
+++ b/core/src/main/java/org/goldcrestfall/core/consensus/ProtocolVersion.java
@@ -15,8 +15,14 @@
    */
   public static final int JOINT_CHANGES = 2;
 
+  /**
+   * Prompt parts that crash upstreams are found by all lost answers, not only by those that had not
+   * begun; see {@link org.goldcrestfall.core.quarantine.PartQuarantine}.
+   */
+  public static final int COUNTED_LOSSES = 3;
+
   /** The newest version that this build supports. */
-  public static final int NEWEST = JOINT_CHANGES;
+  public static final int NEWEST = COUNTED_LOSSES;
 
   private ProtocolVersion() {}
 }
--- a/core/src/main/java/org/goldcrestfall/core/quarantine/QuarantineView.java
+++ b/core/src/main/java/org/goldcrestfall/core/quarantine/QuarantineView.java
@@ -1,10 +1,14 @@
 package org.goldcrestfall.core.quarantine;
 
+import com.google.common.collect.Collections2;
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Maps;
 import java.util.Collection;
+import java.util.Objects;
+import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.goldcrestfall.core.dispatch.PromptPart;
 import org.goldcrestfall.core.dispatch.RequestSize;
@@ -51,17 +55,51 @@
     return OptionalLong.empty();
   }
 
-  /** Returns whether an upstream other than {@code upstream} crashed under a shared part. */
-  public boolean hasCrashedOther(String service, RequestSize requestSize, String upstream) {
+  /**
+   * Returns whether sending a request again, whose answer was lost at an upstream, may crash
+   * another one, as others have crashed under a part of its prompt. One such crash suffices if the
+   * answer had not begun, or if the request was lost before. Many sound answers are lost after they
+   * have begun, so two are needed then.
+   *
+   * @param upstream the id of the upstream
+   * @param begun whether a part of the answer has been forwarded
+   * @param lostAttempts the number of attempts that were lost, including the last one
+   */
+  public boolean mayCrashNext(
+      String service, RequestSize requestSize, String upstream, boolean begun, int lostAttempts) {
     if (parts.isEmpty()) {
       return false;
     }
+    int needed = begun && lostAttempts < 2 ? 2 : 1;
     for (PromptPart p : requestSize.sharedParts()) {
       SuspectPart suspect = parts.get(new ServicePart(service, p.id()));
-      if (suspect != null && suspect.upstreams().stream().anyMatch(u -> !u.equals(upstream))) {
+      if (suspect != null
+          && suspect.upstreams().stream().filter(u -> !u.equals(upstream)).count() >= needed) {
         return true;
       }
     }
     return false;
   }
+
+  /**
+   * Returns the least progress that shows that one of the suspect shared parts of a prompt did not
+   * cause a crash, or nothing if none can show this before the end of the answer.
+   */
+  public Optional<AnswerProgress> soundAfter(String service, RequestSize requestSize) {
+    if (parts.isEmpty()) {
+      return Optional.empty();
+    }
+    return requestSize.sharedParts().stream()
+        .map(p -> parts.get(new ServicePart(service, p.id())))
+        .filter(Objects::nonNull)
+        .flatMap(s -> s.soundAfter().stream())
+        .min(AnswerProgress.SHORTEST_FIRST);
+  }
+
+  /** Returns this view without the parts that a condition holds for. */
+  public QuarantineView without(Predicate<SuspectPart> condition) {
+    return parts.values().stream().noneMatch(condition)
+        ? this
+        : of(index, Collections2.filter(parts.values(), s -> !condition.test(s)));
+  }
 }
--- a/core/src/main/java/org/goldcrestfall/core/registry/UpstreamEntry.java
+++ b/core/src/main/java/org/goldcrestfall/core/registry/UpstreamEntry.java
@@ -60,6 +60,12 @@
     return state.compareTo(other.state) > 0;
   }
 
+  /** Returns whether this incarnation started later than another one that it takes the place of. */
+  public boolean replaces(UpstreamEntry earlier) {
+    return startedAtMillis > earlier.startedAtMillis
+        && (id.equals(earlier.id) || address.equals(earlier.address));
+  }
+
   /** Returns whether this entry differs from another one in a way that matters to routers. */
   boolean differsFrom(UpstreamEntry other) {
     return state != other.state
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
@@ -2,11 +2,14 @@
 
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
+import org.goldcrestfall.core.consensus.ProtocolVersion;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.CrashReport;
+import org.goldcrestfall.core.quarantine.LostAnswers;
 import org.goldcrestfall.core.quarantine.ServicePart;
+import org.goldcrestfall.core.quarantine.SoundAnswer;
 
 /** A command in the replicated log of a site. */
 public sealed interface SiteCommand {
@@ -37,10 +40,21 @@
       implements SiteCommand {}
 
   /**
-   * Reports requests that were lost in crashes of upstreams, and parts with which answers began.
+   * Reports answers that were lost in crashes of upstreams, and answers that show that their parts
+   * are sound.
    *
    * @param sentAtMillis the router's time in milliseconds since the epoch
    */
+  record ReportAnswers(List<LostAnswers> lost, List<SoundAnswer> sound, long sentAtMillis)
+      implements SiteCommand {}
+
+  /**
+   * The same report in a group that runs a protocol before {@link ProtocolVersion#COUNTED_LOSSES}.
+   *
+   * @param lost requests that were lost before their answers had begun
+   * @param answered parts with which answers have begun or ended
+   * @param sentAtMillis the router's time in milliseconds since the epoch
+   */
   record ReportCrashes(List<CrashReport> lost, List<ServicePart> answered, long sentAtMillis)
       implements SiteCommand {}
 
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteState.java
@@ -8,6 +8,7 @@
 import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.CrashReport;
+import org.goldcrestfall.core.quarantine.LegacyPartQuarantine;
 import org.goldcrestfall.core.quarantine.PartQuarantine;
 import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.warmup.RouterNumbers;
@@ -40,8 +41,26 @@
     }
   }
 
+  /**
+   * The prompt parts under which upstreams crashed, in a snapshot.
+   *
+   * @param legacyReports reports that the group has committed before it ran the protocol version
+   *     {@link org.goldcrestfall.core.consensus.ProtocolVersion#COUNTED_LOSSES}
+   */
+  public record QuarantineSnapshot(
+      List<CrashReport> legacyReports,
+      List<PartQuarantine.CrashTime> crashes,
+      List<PartQuarantine.PartState> parts,
+      QuarantineView view) {
+
+    /** The snapshot before any crash. */
+    public static final QuarantineSnapshot EMPTY =
+        new QuarantineSnapshot(List.of(), List.of(), List.of(), QuarantineView.EMPTY);
+  }
+
   private final PrepaidLedger ledger = new PrepaidLedger();
   private final PartQuarantine quarantine = new PartQuarantine();
+  private final LegacyPartQuarantine legacyQuarantine = new LegacyPartQuarantine();
   private Optional<StoredConfiguration> configuration = Optional.empty();
   private QuarantineView quarantineView = QuarantineView.EMPTY;
   private EvacuatedZones evacuatedZones = EvacuatedZones.NONE;
@@ -57,12 +76,19 @@
       }
       return Reply.ofVersion(version());
     }
-    if (command instanceof SiteCommand.ReportCrashes c) {
-      if (quarantine.update(c.lost(), c.answered(), c.sentAtMillis())) {
+    if (command instanceof SiteCommand.ReportAnswers c) {
+      boolean adopted = adoptLegacyQuarantine();
+      if (quarantine.update(c.lost(), c.sound(), c.sentAtMillis()) || adopted) {
         quarantineView = QuarantineView.of(index, quarantine.suspects());
       }
       return Reply.ofVersion(version());
     }
+    if (command instanceof SiteCommand.ReportCrashes c) {
+      if (legacyQuarantine.update(c.lost(), c.answered(), c.sentAtMillis())) {
+        quarantineView = QuarantineView.of(index, legacyQuarantine.suspects());
+      }
+      return Reply.ofVersion(version());
+    }
     if (command instanceof SiteCommand.SetEvacuation c) {
       evacuatedZones = evacuatedZones.after(index, c);
       return Reply.ofVersion(version());
@@ -77,6 +103,16 @@
     return new Reply(version(), allotments, c.proposedAt());
   }
 
+  /** Takes over what was found before the group ran this protocol; returns whether there is any. */
+  private boolean adoptLegacyQuarantine() {
+    if (legacyQuarantine.isEmpty()) {
+      return false;
+    }
+    quarantine.adopt(legacyQuarantine.reports(), legacyQuarantine.suspects());
+    legacyQuarantine.restore(List.of(), List.of());
+    return true;
+  }
+
   /**
    * Returns whether a configuration is the first one or has a higher version than the stored one.
    */
@@ -115,9 +151,10 @@
     return routerNumbers;
   }
 
-  /** Returns the reports of lost requests, for a snapshot. */
-  public List<CrashReport> crashReports() {
-    return quarantine.reports();
+  /** Returns what is known of crashes and prompt parts, for a snapshot. */
+  public QuarantineSnapshot quarantineSnapshot() {
+    return new QuarantineSnapshot(
+        legacyQuarantine.reports(), quarantine.crashes(), quarantine.parts(), quarantineView);
   }
 
   /** Returns where the prepaid tokens of a workspace are. */
@@ -146,15 +183,18 @@
   public void restore(
       Optional<StoredConfiguration> stored,
       List<PrepaidLedger.IncarnationTotals> allotments,
-      List<CrashReport> crashReports,
-      QuarantineView suspects,
+      QuarantineSnapshot suspects,
       EvacuatedZones evacuated,
       RouterNumbers numbers) {
     configuration = stored;
     ledger.setTotals(prepaidTotals());
     ledger.restore(allotments);
-    quarantine.restore(crashReports, suspects.parts().values().asList());
-    quarantineView = suspects;
+    quarantine.restore(suspects.crashes(), suspects.parts());
+    // The protocol of the group decides which rule the suspect parts belong to.
+    boolean isLegacy = quarantine.isEmpty();
+    legacyQuarantine.restore(
+        suspects.legacyReports(), isLegacy ? suspects.view().parts().values().asList() : List.of());
+    quarantineView = suspects.view();
     evacuatedZones = evacuated;
     routerNumbers = numbers;
   }
--- a/core/src/test/java/org/goldcrestfall/core/consensus/MembersTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/consensus/MembersTest.java
@@ -37,7 +37,7 @@
     byte[] newer = LIST.withProtocol(ProtocolVersion.NEWEST + 1).toBytes();
     assertThatThrownBy(() -> Members.fromBytes(newer))
         .isInstanceOf(IllegalArgumentException.class)
-        .hasMessageContaining("version 3")
-        .hasMessageContaining("up to 2");
+        .hasMessageContaining("version " + (ProtocolVersion.NEWEST + 1))
+        .hasMessageContaining("up to " + ProtocolVersion.NEWEST);
   }
 }
--- a/core/src/test/java/org/goldcrestfall/core/site/EvacuatedZonesTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/EvacuatedZonesTest.java
@@ -57,8 +57,7 @@
         restored.restore(
             state.configuration(),
             state.allotments(),
-            state.crashReports(),
-            state.quarantine(),
+            state.quarantineSnapshot(),
             state.evacuatedZones(),
             state.routerNumbers());
         state = restored;
--- a/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
@@ -17,6 +17,7 @@
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.prepaid.PrepaidLedger.GrantRule;
 import org.goldcrestfall.core.quarantine.CrashReport;
+import org.goldcrestfall.core.quarantine.LostAnswers;
 
 /**
  * Guards against configurations that go back to an older version, and against prepaid totals that
@@ -94,8 +95,7 @@
     restored.restore(
         state.configuration(),
         state.allotments(),
-        state.crashReports(),
-        state.quarantine(),
+        state.quarantineSnapshot(),
         state.evacuatedZones(),
         state.routerNumbers());
     var reply =
@@ -108,32 +108,57 @@
   }
 
   /** Guards against prompts that crash upstreams again after all control daemons have restarted. */
-  @Example
-  void restoredStateKeepsTheQuarantineAndTheCrashesThatLeadToIt() {
+  @Property
+  void restoredStateKeepsTheQuarantineAndTheCrashesThatLeadToIt(@ForAll boolean legacy) {
     SiteState state = new SiteState();
     for (int u = 1; u <= 3; u++) {
-      state.apply(u, crash("u" + u, u * 1_000, "bad"));
+      state.apply(u, crash("u" + u, u * 1_000, "bad", legacy));
     }
-    state.apply(4, crash("u4", 4_000, "other"));
-    state.apply(5, crash("u5", 5_000, "other"));
+    state.apply(4, crash("u4", 4_000, "other", legacy));
+    state.apply(5, crash("u5", 5_000, "other", legacy));
     SiteState restored = new SiteState();
     restored.restore(
         state.configuration(),
         state.allotments(),
-        state.crashReports(),
-        state.quarantine(),
+        state.quarantineSnapshot(),
         state.evacuatedZones(),
         state.routerNumbers());
     assertThat(restored.quarantine()).isEqualTo(state.quarantine());
-    state.apply(6, crash("u6", 6_000, "other"));
-    restored.apply(6, crash("u6", 6_000, "other"));
+    assertThat(state.quarantine().parts().values())
+        .filteredOn(s -> s.quarantinedAtMillis() != 0)
+        .extracting(s -> s.part().part())
+        .containsExactly("bad");
+    state.apply(6, crash("u6", 6_000, "other", legacy));
+    restored.apply(6, crash("u6", 6_000, "other", legacy));
     assertThat(restored.quarantine()).isEqualTo(state.quarantine());
     assertThat(restored.quarantine().index()).isEqualTo(6);
   }
 
-  private static SiteCommand crash(String upstream, long atMillis, String part) {
+  /**
+   * Guards against members of two releases that decide differently, and against a quarantine that
+   * is lost when the last member of the earlier release has gone.
+   */
+  @Example
+  void quarantineOfTheEarlierProtocolGoesOnInTheNewOne() {
+    SiteState state = new SiteState();
+    for (int u = 1; u <= 3; u++) {
+      state.apply(u, crash("u" + u, u * 1_000, "bad", true));
+    }
+    state.apply(4, crash("u4", 4_000, "other", true));
+    state.apply(5, crash("u5", 5_000, "other", false));
+    state.apply(6, crash("u6", 6_000, "other", false));
+    assertThat(state.quarantine().parts().values())
+        .filteredOn(s -> s.quarantinedAtMillis() != 0)
+        .extracting(s -> s.part().part())
+        .containsExactlyInAnyOrder("bad", "other");
+    assertThat(state.quarantineSnapshot().legacyReports()).isEmpty();
+  }
+
+  private static SiteCommand crash(String upstream, long atMillis, String part, boolean legacy) {
     var report =
         new CrashReport("s", upstream, 1, "on " + upstream, ImmutableList.of(part), atMillis);
-    return new SiteCommand.ReportCrashes(List.of(report), List.of(), atMillis);
+    return legacy
+        ? new SiteCommand.ReportCrashes(List.of(report), List.of(), atMillis)
+        : new SiteCommand.ReportAnswers(List.of(LostAnswers.of(report)), List.of(), atMillis);
   }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -10,11 +10,14 @@
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import java.util.List;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.goldcrestfall.core.dispatch.RequestSize;
 import org.goldcrestfall.core.dispatch.UpstreamLoad;
 import org.goldcrestfall.core.limit.FragmentLimit;
 import org.goldcrestfall.core.limit.StatedLimit;
+import org.goldcrestfall.core.quarantine.AnswerProgress;
+import org.goldcrestfall.core.quarantine.QuarantineView;
 
 /**
  * One attempt to send a request to an upstream, with the response to it. It updates the upstream's
@@ -47,6 +50,7 @@
   private final Gateway gateway;
   private final Upstream upstream;
   private final UpstreamConnection connection;
+  private final String requestId;
   private final RequestSize requestSize;
   private final CallerResponse callerResponse;
   private final boolean streaming;
@@ -57,7 +61,13 @@
   private final long uncachedTokens;
   private final double expectedFirstByteMillis;
   private long firstByteAtMillis = -1;
+  private long lastByteAtMillis;
   private boolean open = true;
+  private QuarantineView knownView = QuarantineView.EMPTY;
+
+  /** The progress at which this answer shows that one of its suspect parts is sound. */
+  private Optional<AnswerProgress> soundAfter = Optional.empty();
+
   private HttpResponse head;
   private final FragmentLimit fragments = new FragmentLimit();
   private BodyBuffer bufferedBody;
@@ -66,6 +76,7 @@
   Attempt(
       Gateway gateway,
       UpstreamConnection connection,
+      String requestId,
       RequestSize requestSize,
       CallerResponse callerResponse,
       boolean streaming,
@@ -73,6 +84,7 @@
       Listener listener) {
     this.gateway = gateway;
     this.connection = connection;
+    this.requestId = requestId;
     this.requestSize = requestSize;
     this.callerResponse = callerResponse;
     this.streaming = streaming;
@@ -238,16 +250,14 @@
       return;
     }
     if (bufferedBody == null) {
-      boolean begins = events() == 0;
       boolean accepted = callerResponse.forwardEvents(bytes);
-      if (begins && events() > 0) {
-        gateway.quarantine().onAnswerBegun(upstream, requestSize);
-      }
+      onWritten();
       if (!accepted) {
         rejectResponse("an event is longer than " + EventScanner.MAX_EVENT_BYTES + " bytes");
       }
       return;
     }
+    onWritten();
     if (bufferedBody.size() + bytes.readableBytes() > MAX_BUFFERED_BODY_BYTES) {
       if (Exchange.isTakenForNotRun(head.status().code())) {
         rejectResponse("status " + head.status().code() + " with a long body");
@@ -260,6 +270,31 @@
     bufferedBody.append(bytes);
   }
 
+  private void onWritten() {
+    lastByteAtMillis = gateway.now();
+    QuarantineView view = gateway.quarantine().view();
+    if (view != knownView) {
+      knownView = view;
+      soundAfter = view.soundAfter(upstream.entry().service(), requestSize);
+    }
+    if (soundAfter.isEmpty()) {
+      return;
+    }
+    Optional<AnswerProgress> progress = progress();
+    if (progress.isPresent() && progress.get().reaches(soundAfter.get())) {
+      gateway.quarantine().onWritten(upstream, requestSize, progress.get());
+      soundAfter = Optional.empty();
+    }
+  }
+
+  /** Returns how far the answer was written; empty if no part of it has arrived. */
+  private Optional<AnswerProgress> progress() {
+    boolean begun = lastByteAtMillis > 0 && (!streaming || events() > 0);
+    return begun
+        ? Optional.of(new AnswerProgress(lastByteAtMillis - firstByteAtMillis, events()))
+        : Optional.empty();
+  }
+
   /** Returns the bytes of a response that is not a stream. */
   int bufferedBytes() {
     return bufferedBody == null ? 0 : bufferedBody.size();
@@ -307,15 +342,17 @@
       recordFirstByte();
       upstream.load().onSuccess((firstByteAtMillis - sentAtMillis) / expectedFirstByteMillis, now);
     }
+    if (head.status().code() / 100 == 2) {
+      gateway
+          .quarantine()
+          .onEnded(upstream, requestId, requestSize, progress().orElse(AnswerProgress.BEGUN));
+    }
     if (bufferedBody == null) {
       callerResponse.endStream();
       recordEnd();
       listener.onForwarded(this);
       return;
     }
-    if (head.status().code() / 100 == 2) {
-      gateway.quarantine().onAnswerBegun(upstream, requestSize);
-    }
     CompositeByteBuf body = bufferedBody.take();
     bufferedBody = null;
     recordEnd();
@@ -334,6 +371,7 @@
     } else {
       upstream.load().onFailure(gateway.now());
     }
+    gateway.quarantine().onLost(upstream, requestId, requestSize, progress());
     recordEnd();
     listener.onFailure(this, reason);
   }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -82,6 +82,7 @@
   private TokenCount reservedTokens = TokenCount.ZERO;
   private ScheduledFuture<?> timeout;
   private int attempts;
+  private int lostAttempts;
   private int connectFailures;
   private int permitRefusals;
   private Attempt currentAttempt;
@@ -341,7 +342,14 @@
         route.kind() == RouteKind.STREAMING && !request.head().method().equals(HttpMethod.HEAD);
     currentAttempt =
         new Attempt(
-            gateway, connection, requestSize, callerResponse, streaming, route.resumable(), this);
+            gateway,
+            connection,
+            Strings.nullToEmpty(id),
+            requestSize,
+            callerResponse,
+            streaming,
+            route.resumable(),
+            this);
     connection.send(upstreamRequest(upstream, now), Strings.nullToEmpty(id), currentAttempt);
   }
 
@@ -452,12 +460,12 @@
         LazyArgs.lazy(this::describeSharedParts),
         reason);
     callerResponse.discardIncompleteEvent();
-    if (attempt.events() == 0) {
-      gateway.quarantine().onRequestLost(attempt.upstream(), Strings.nullToEmpty(id), requestSize);
-    }
+    lostAttempts++;
     boolean resumes = callerResponse.isCommitted() && callerResponse.isStream();
     boolean mayCrashNext =
-        !resumes && gateway.quarantine().hasCrashedOther(attempt.upstream(), requestSize);
+        gateway
+            .quarantine()
+            .mayCrashNext(attempt.upstream(), requestSize, attempt.events() > 0, lostAttempts);
     if (route.isRepeatable()
         && !mayCrashNext
         && (resumes || !callerResponse.isCommitted())
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Gateway.java
@@ -98,7 +98,8 @@
     this.prepaid = prepaid;
     loadSynchronizer = new LoadSynchronizer(siteClient, transport, loop, upstreams);
     quarantine =
-        new PromptQuarantine(upstreams, new CrashReporter(siteClient, transport, loop, clock));
+        new PromptQuarantine(
+            upstreams, new CrashReporter(siteClient, transport, loop, clock), loop);
     rateLimiter =
         new UpstreamRateLimiter(new PermitClient(siteClient, transport, loop, clock), loop, clock);
     warmupLimiter = new WarmupLimiter(siteClient, this::warmupSettings, metrics);
@@ -141,6 +142,7 @@
 
   @Override
   public void upstreamChanged(UpstreamEntry entry) {
+    quarantine.onEntry(entry);
     upstreams.update(entry);
   }
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Upstream.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Upstream.java
@@ -2,7 +2,10 @@
 
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.LinkedHashSet;
+import java.util.Set;
 import org.goldcrestfall.core.dispatch.UpstreamLoad;
+import org.goldcrestfall.core.quarantine.IncarnationLosses;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamState;
 import org.goldcrestfall.core.warmup.UpstreamWarmup;
@@ -13,6 +16,8 @@
   private final UpstreamLoad load;
   private final UpstreamWarmup warmup;
   private final Deque<UpstreamConnection> idleConnections = new ArrayDeque<>();
+  private final Set<UpstreamConnection> established = new LinkedHashSet<>();
+  private final IncarnationLosses losses = new IncarnationLosses();
   private UpstreamEntry entry;
   private int openConnections;
 
@@ -60,12 +65,29 @@
     return openConnections;
   }
 
+  /** Returns the answers that were lost or ended just now. */
+  IncarnationLosses losses() {
+    return losses;
+  }
+
   void onConnectionOpened() {
     openConnections++;
   }
 
+  void onConnectionEstablished(UpstreamConnection connection) {
+    established.add(connection);
+  }
+
+  /** Records in the losses that the eldest connection is still open, if there is one. */
+  void recordOpenConnection(long nowMillis) {
+    established.stream()
+        .findFirst()
+        .ifPresent(c -> losses.onConnectionOpen(c.openedAtMillis(), nowMillis));
+  }
+
   void onConnectionClosed(UpstreamConnection connection) {
     openConnections--;
+    established.remove(connection);
     idleConnections.remove(connection);
   }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnection.java
@@ -89,6 +89,7 @@
   private boolean reused;
   private boolean channelFailed;
   private boolean bytesReceived;
+  private long openedAtMillis;
   private long idleSinceMillis;
   private long idleTimeoutMillis = DEFAULT_IDLE_TIMEOUT_MILLIS;
 
@@ -102,6 +103,18 @@
     return upstream;
   }
 
+  /** Returns the time at which the connection was established. */
+  long openedAtMillis() {
+    return openedAtMillis;
+  }
+
+  @Override
+  public void channelActive(ChannelHandlerContext c) {
+    openedAtMillis = connections.now();
+    upstream.onConnectionEstablished(this);
+    c.fireChannelActive();
+  }
+
   @Override
   public void handlerAdded(ChannelHandlerContext c) {
     channel = c.channel();
@@ -313,10 +326,12 @@
 
   @Override
   public void channelInactive(ChannelHandlerContext c) {
+    upstream.recordOpenConnection(connections.now());
     upstream.onConnectionClosed(this);
     Receiver current = receiver;
     receiver = null;
     if (current == null) {
+      connections.onIdleConnectionClosed(upstream);
       return;
     }
     if (responseComplete) {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/UpstreamConnections.java
@@ -6,9 +6,11 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.ConnectTimeoutException;
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.HttpRequestEncoder;
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.HashMap;
@@ -34,6 +36,7 @@
   private final GatewayHeaderNames headerNames;
   private final long startedAtMillis;
   private final Map<String, Upstream> upstreams = new HashMap<>();
+  private CrashSigns crashSigns = CrashSigns.NONE;
   private final Map<String, Map<String, Upstream>> byService = new HashMap<>();
 
   UpstreamConnections(EventLoop loop, MillisClock clock, GatewayHeaderNames headerNames) {
@@ -43,6 +46,11 @@
     startedAtMillis = clock.nowMillis();
   }
 
+  /** Sets the receiver of signs that upstreams have crashed. */
+  void onCrashSigns(CrashSigns receiver) {
+    crashSigns = receiver;
+  }
+
   long now() {
     return clock.nowMillis();
   }
@@ -84,6 +92,7 @@
 
   /** Removes an upstream whose address now belongs to another upstream. */
   void removeMisdirected(Upstream upstream) {
+    crashSigns.onReplaced(upstream);
     logger.atInfo().log(
         "upstream: %s is no longer at %s", upstream.entry().id(), upstream.entry().address());
     remove(upstream.entry().id());
@@ -146,6 +155,9 @@
           }
           upstream.onConnectionClosed(connection);
           upstream.warmup().onConnectFailed();
+          if (isRefused(f.cause())) {
+            crashSigns.onRefused(upstream);
+          }
           logger.atInfo().log(
               "upstream: cannot connect to %s at %s: %s",
               upstream.entry().id(), address, f.cause().getMessage());
@@ -171,16 +183,26 @@
         .connect(address.substring(0, colon), Integer.parseInt(address.substring(colon + 1)));
   }
 
-  /** Passes to the callback whether the upstream accepts a connection, which is closed at once. */
-  void checkReachable(Upstream upstream, Consumer<Boolean> callback) {
+  /** Opens a connection to find out whether the upstream refuses it, and closes it at once. */
+  void checkRefused(Upstream upstream, Consumer<Boolean> callback) {
     open(upstream.entry().address(), c -> {})
         .addListener(
             (ChannelFuture f) -> {
               f.channel().close();
-              callback.accept(f.isSuccess());
+              callback.accept(isRefused(f.cause()));
             });
   }
 
+  /** Returns whether no process listens at the address; a cut or a dead host shows as a timeout. */
+  private static boolean isRefused(Throwable failure) {
+    return failure instanceof ConnectException && !(failure instanceof ConnectTimeoutException);
+  }
+
+  /** Records that an upstream has closed a connection without a request. */
+  void onIdleConnectionClosed(Upstream upstream) {
+    crashSigns.onIdleConnectionClosed(upstream);
+  }
+
   /** Keeps a connection for reuse after a complete response. */
   void release(UpstreamConnection connection) {
     connection.upstream().idleConnections().addFirst(connection);
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteClient.java
@@ -272,7 +272,7 @@
     if (update.getQuarantineIndex() > quarantineIndex) {
       quarantineIndex = update.getQuarantineIndex();
       listener.quarantineChanged(
-          SiteCodec.decodeSuspects(quarantineIndex, update.getSuspectPartsList()));
+          QuarantineCodec.decodeSuspects(quarantineIndex, update.getSuspectPartsList()));
     }
     if (update.getRouterNumber() > 0) {
       position =
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -15,10 +15,6 @@
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
-import org.goldcrestfall.core.quarantine.CrashReport;
-import org.goldcrestfall.core.quarantine.QuarantineView;
-import org.goldcrestfall.core.quarantine.ServicePart;
-import org.goldcrestfall.core.quarantine.SuspectPart;
 import org.goldcrestfall.core.registry.UpstreamState;
 import org.goldcrestfall.core.site.DaemonDirectory;
 import org.goldcrestfall.core.site.EvacuatedZones;
@@ -34,7 +30,6 @@
 import org.goldcrestfall.wire.generated.PutConfiguration;
 import org.goldcrestfall.wire.generated.RegisterRouter;
 import org.goldcrestfall.wire.generated.RenewAllotments;
-import org.goldcrestfall.wire.generated.ReportCrashes;
 import org.goldcrestfall.wire.generated.RouterAllotments;
 import org.goldcrestfall.wire.generated.RouterLife;
 import org.goldcrestfall.wire.generated.SetEvacuation;
@@ -82,17 +77,10 @@
         renew.addDemands(demand);
       }
       out.setRenew(renew);
+    } else if (command instanceof SiteCommand.ReportAnswers c) {
+      out.setCrashes(QuarantineCodec.encodeReport(c));
     } else if (command instanceof SiteCommand.ReportCrashes c) {
-      ReportCrashes.Builder crashes = ReportCrashes.newBuilder().setSentAt(c.sentAtMillis());
-      c.lost().forEach(r -> crashes.addLost(encodeCrash(r)));
-      c.answered()
-          .forEach(
-              p ->
-                  crashes.addAnswered(
-                      org.goldcrestfall.wire.generated.ServicePart.newBuilder()
-                          .setService(p.service())
-                          .setPart(p.part())));
-      out.setCrashes(crashes);
+      out.setCrashes(QuarantineCodec.encodeLegacyReport(c));
     } else if (command instanceof SiteCommand.RegisterRouter c) {
       out.setRegistration(RegisterRouter.newBuilder().setHost(c.host()));
     } else if (command instanceof SiteCommand.SetEvacuation c) {
@@ -134,13 +122,7 @@
                 ? PrepaidLedger.GrantRule.WHOLE_REQUESTS
                 : PrepaidLedger.GrantRule.PARTS_OF_REQUESTS);
       case CRASHES:
-        ReportCrashes crashes = decoded.getCrashes();
-        return new SiteCommand.ReportCrashes(
-            crashes.getLostList().stream().map(SiteCodec::decodeCrash).toList(),
-            crashes.getAnsweredList().stream()
-                .map(p -> new ServicePart(p.getService(), p.getPart()))
-                .toList(),
-            crashes.getSentAt());
+        return QuarantineCodec.decodeReport(decoded.getCrashes(), decoded.getProtocol());
       case REGISTRATION:
         return new SiteCommand.RegisterRouter(decoded.getRegistration().getHost());
       case EVACUATION:
@@ -256,10 +238,8 @@
       }
       out.addRouters(router);
     }
-    state.crashReports().forEach(r -> out.addCrashReports(encodeCrash(r)));
-    out.addAllSuspectParts(encodeSuspects(state.quarantine()))
-        .setQuarantineIndex(state.quarantine().index())
-        .addAllEvacuatedZones(state.evacuatedZones().zones())
+    QuarantineCodec.encodeSnapshot(state.quarantineSnapshot(), out);
+    out.addAllEvacuatedZones(state.evacuatedZones().zones())
         .setEvacuationIndex(state.evacuatedZones().index())
         // The map keeps the order of registration, which is that of the numbers.
         .addAllRegisteredHosts(state.routerNumbers().byHost().keySet())
@@ -293,8 +273,7 @@
     state.restore(
         decodeConfiguration(decoded),
         routers,
-        decoded.getCrashReportsList().stream().map(SiteCodec::decodeCrash).toList(),
-        decodeSuspects(decoded.getQuarantineIndex(), decoded.getSuspectPartsList()),
+        QuarantineCodec.decodeSnapshot(decoded),
         new EvacuatedZones(
             decoded.getEvacuationIndex(), ImmutableSet.copyOf(decoded.getEvacuatedZonesList())),
         decodeNumbers(decoded.getRegistrationIndex(), decoded.getRegisteredHostsList()));
@@ -320,56 +299,6 @@
     return numbers;
   }
 
-  private static org.goldcrestfall.wire.generated.CrashReport encodeCrash(CrashReport r) {
-    return org.goldcrestfall.wire.generated.CrashReport.newBuilder()
-        .setService(r.service())
-        .setUpstream(r.upstream())
-        .setStartedAt(r.startedAtMillis())
-        .setRequest(r.request())
-        .addAllParts(r.parts())
-        .setAt(r.atMillis())
-        .build();
-  }
-
-  private static CrashReport decodeCrash(org.goldcrestfall.wire.generated.CrashReport r) {
-    return new CrashReport(
-        r.getService(),
-        r.getUpstream(),
-        r.getStartedAt(),
-        r.getRequest(),
-        ImmutableList.copyOf(r.getPartsList()),
-        r.getAt());
-  }
-
-  static List<org.goldcrestfall.wire.generated.SuspectPart> encodeSuspects(QuarantineView view) {
-    List<org.goldcrestfall.wire.generated.SuspectPart> out = new ArrayList<>();
-    for (SuspectPart s : view.parts().values()) {
-      out.add(
-          org.goldcrestfall.wire.generated.SuspectPart.newBuilder()
-              .setService(s.part().service())
-              .setPart(s.part().part())
-              .addAllUpstreams(s.upstreams())
-              .addAllCompanions(s.companions())
-              .setQuarantinedAt(s.quarantinedAtMillis())
-              .build());
-    }
-    return out;
-  }
-
-  static QuarantineView decodeSuspects(
-      long index, List<org.goldcrestfall.wire.generated.SuspectPart> suspects) {
-    List<SuspectPart> parts = new ArrayList<>();
-    for (var s : suspects) {
-      parts.add(
-          new SuspectPart(
-              new ServicePart(s.getService(), s.getPart()),
-              ImmutableSet.copyOf(s.getUpstreamsList()),
-              ImmutableSet.copyOf(s.getCompanionsList()),
-              s.getQuarantinedAt()));
-    }
-    return QuarantineView.of(index, parts);
-  }
-
   private static RouterLife encodeTimes(IncarnationTimes times) {
     return RouterLife.newBuilder()
         .setHost(times.host())
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
@@ -458,7 +458,7 @@
                     .setConfiguration(ByteString.copyFrom(c.document())));
     QuarantineView q = currentQuarantine();
     if (q.index() > watch.getQuarantineIndex()) {
-      out.setQuarantineIndex(q.index()).addAllSuspectParts(SiteCodec.encodeSuspects(q));
+      out.setQuarantineIndex(q.index()).addAllSuspectParts(QuarantineCodec.encodeSuspects(q));
     }
     EvacuatedZones z = currentEvacuatedZones();
     if (z.index() > watch.getEvacuationIndex()) {
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/GatewayFixture.java
@@ -209,7 +209,24 @@
 
   /** Returns the registry entry of an upstream in a state. */
   UpstreamEntry entry(String id, UpstreamState state) {
-    return new UpstreamEntry(id, "s", upstreams.get(id).address(), "z", state, 4, 1, 1, 0);
+    return entry(id, state, 1);
+  }
+
+  private UpstreamEntry entry(String id, UpstreamState state, long startedAtMillis) {
+    String address = upstreams.get(id).address();
+    return new UpstreamEntry(id, "s", address, "z", state, 4, startedAtMillis, 1, 0);
+  }
+
+  /** Makes known that an upstream has started again under its id and address. */
+  void restart(String id) throws Exception {
+    runOnLoop(() -> gateway.upstreamChanged(entry(id, UpstreamState.READY, 2)));
+  }
+
+  /** Makes known that all upstreams have ended. */
+  void removeUpstreams() throws Exception {
+    for (String id : upstreams.keySet()) {
+      runOnLoop(() -> gateway.upstreamChanged(entry(id, UpstreamState.GONE)));
+    }
   }
 
   /** Starts to drain the router; see {@link DrainSchedule} for the times, counted from now. */
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/OddMessageTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/OddMessageTest.java
@@ -4,6 +4,7 @@
 
 import com.google.common.collect.ImmutableList;
 import com.google.common.collect.ImmutableMap;
+import com.google.common.collect.ImmutableSet;
 import com.google.protobuf.InvalidProtocolBufferException;
 import java.util.Arrays;
 import java.util.List;
@@ -16,8 +17,13 @@
 import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.prepaid.PrepaidLedger.GrantRule;
+import org.goldcrestfall.core.quarantine.AnswerProgress;
+import org.goldcrestfall.core.quarantine.Crash;
 import org.goldcrestfall.core.quarantine.CrashReport;
+import org.goldcrestfall.core.quarantine.LostAnswers;
+import org.goldcrestfall.core.quarantine.PartLoss;
 import org.goldcrestfall.core.quarantine.ServicePart;
+import org.goldcrestfall.core.quarantine.SoundAnswer;
 import org.goldcrestfall.core.registry.UpstreamState;
 import org.goldcrestfall.core.site.SiteCommand;
 import org.goldcrestfall.wire.generated.DaemonEntry;
@@ -45,7 +51,7 @@
   }
 
   private static SiteCommand command(Random r) {
-    return switch (r.nextInt(3)) {
+    return switch (r.nextInt(4)) {
       case 0 ->
           new SiteCommand.PutConfiguration(
               number(r), new byte[r.nextInt(3)], ImmutableMap.of(text(r), number(r)));
@@ -64,6 +70,17 @@
               List.of(demand(r), demand(r)),
               new LeaderTime(number(r), number(r), number(r)),
               GrantRule.values()[r.nextInt(2)]);
+      case 2 ->
+          new SiteCommand.ReportAnswers(
+              List.of(
+                  new LostAnswers(
+                      new Crash(text(r), text(r), number(r)),
+                      number(r),
+                      ImmutableList.of(
+                          new PartLoss(text(r), ImmutableSet.of(text(r)), progress(r)),
+                          new PartLoss(text(r), ImmutableSet.of(), progress(r))))),
+              List.of(new SoundAnswer(new ServicePart(text(r), text(r)), progress(r))),
+              number(r));
       default ->
           new SiteCommand.ReportCrashes(
               List.of(
@@ -79,6 +96,12 @@
     };
   }
 
+  private static Optional<AnswerProgress> progress(Random r) {
+    return r.nextBoolean()
+        ? Optional.of(new AnswerProgress(number(r), number(r)))
+        : Optional.empty();
+  }
+
   private static PrepaidLedger.Demand demand(Random r) {
     return new PrepaidLedger.Demand(
         text(r),
@@ -144,7 +167,7 @@
     }
     odd.getUpstreamsList().forEach(SiteCodec::decodeEntry);
     SiteCodec.decodeDaemons(odd);
-    SiteCodec.decodeSuspects(odd.getQuarantineIndex(), odd.getSuspectPartsList());
+    QuarantineCodec.decodeSuspects(odd.getQuarantineIndex(), odd.getSuspectPartsList());
   }
 
   @Property(tries = 200, seed = "7603")
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
@@ -17,8 +17,10 @@
 import org.goldcrestfall.core.dispatch.PromptPart;
 import org.goldcrestfall.core.dispatch.RequestSize;
 import org.goldcrestfall.core.quarantine.CrashReport;
+import org.goldcrestfall.core.quarantine.LostAnswers;
 import org.goldcrestfall.core.quarantine.QuarantineView;
 import org.goldcrestfall.core.quarantine.ServicePart;
+import org.goldcrestfall.core.quarantine.SoundAnswer;
 import org.goldcrestfall.core.registry.UpstreamEntry;
 import org.goldcrestfall.core.registry.UpstreamState;
 import org.goldcrestfall.core.site.EvacuatedZones;
@@ -268,13 +270,15 @@
     site.put("c0", "1 w 1000");
     Router router = site.startRouter(site::addresses);
     long now = MillisClock.utc().nowMillis();
-    List<CrashReport> lost = new ArrayList<>();
+    List<LostAnswers> lost = new ArrayList<>();
     for (int u = 1; u <= 3; u++) {
-      lost.add(new CrashReport("s", "u" + u, 1, "q" + u, ImmutableList.of("bad"), now + u * 1_000));
+      var report =
+          new CrashReport("s", "u" + u, 1, "q" + u, ImmutableList.of("bad"), now + u * 1_000);
+      lost.add(LostAnswers.of(report));
     }
     CrashReporter reporter =
         new CrashReporter(router.site(), router.transport(), site.loop(), MillisClock.monotonic());
-    site.run(() -> reporter.reportLost(lost));
+    site.run(() -> lost.forEach(reporter::reportLost));
     SiteFixture.await(() -> refusesBadPart(router));
     for (String host : List.of("c0", "c1", "c2")) {
       site.stopControl(host);
@@ -285,7 +289,7 @@
     Router late = site.startRouter(site::addresses);
     SiteFixture.await(() -> !late.versions().isEmpty());
     assertThat(refusesBadPart(late)).isTrue();
-    site.run(() -> reporter.reportAnswered(new ServicePart("s", "bad")));
+    site.run(() -> reporter.reportSound(SoundAnswer.ended(new ServicePart("s", "bad")), true));
     SiteFixture.await(() -> !refusesBadPart(late) && !refusesBadPart(router));
   }
 
