Test from time to time whether a low limit of an upstream still holds

Cause: only an answer without a limit ends a limit, and at a rate of 0 no permit was granted, so that no answer came. At 0.01 requests a second it came after up to 100 s.

Change: an upstream that limits its rate gets at least one request in 2 s from all routers together. Requests for permits name the share of the limit that they ask for, so that substitutes and routers without a control daemon grant their share of this, too.

--- a/core/src/main/java/org/goldcrestfall/core/limit/RatePermits.java
+++ b/core/src/main/java/org/goldcrestfall/core/limit/RatePermits.java
@@ -7,7 +7,8 @@
 /**
  * Grants permits to send requests to upstreams that limit their rate, spaced by the inverse of the
  * rate. Permits that were not requested are kept for a short time only, so that the upstream gets
- * no burst. Not thread-safe.
+ * no burst. An upstream that takes no requests, or hardly any, still gets one from time to time, as
+ * only its answer tells when its limit has ended. Not thread-safe.
  */
 public final class RatePermits {
 
@@ -23,6 +24,12 @@
   /** Time after which an upstream is forgotten if nobody asks for it. */
   static final long EXPIRY_MILLIS = 60_000;
 
+  /**
+   * Time after which a request tests whether a low limit still holds. It is short against the time
+   * for which callers wait, and long enough to add few requests to those that the limit allows.
+   */
+  static final long TEST_INTERVAL_MILLIS = 2_000;
+
   /** Delay until the next request for a permit, at most. */
   static final long MAX_RETRY_AFTER_MILLIS = 2_000;
 
@@ -60,8 +67,9 @@
    *
    * @param upstream identifies the incarnation of an upstream
    * @param stated the limit that the requester knows
+   * @param share the share of the limit that this instance grants, above 0 and up to 1
    */
-  public Decision acquire(String upstream, StatedLimit stated, long nowMillis) {
+  public Decision acquire(String upstream, StatedLimit stated, double share, long nowMillis) {
     expire(nowMillis);
     Schedule s = schedules.computeIfAbsent(upstream, u -> new Schedule());
     s.usedAtMillis = nowMillis;
@@ -70,11 +78,8 @@
     if (!s.limit.isLimited()) {
       return new Decision(true, 0, s.limit);
     }
-    double rate = s.limit.requestsPerSecond();
-    if (rate <= 0) {
-      return new Decision(false, MAX_RETRY_AFTER_MILLIS, s.limit);
-    }
-    double intervalMillis = 1_000 / rate;
+    double intervalMillis =
+        Math.min(1_000 / s.limit.requestsPerSecond(), TEST_INTERVAL_MILLIS) / share;
     if (isNew) {
       s.nextAtMillis = nowMillis + firstDelay.getAsDouble() * intervalMillis;
     }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PermitClient.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PermitClient.java
@@ -101,6 +101,7 @@
             .setUpstream(upstream.id())
             .setStartedAt(upstream.startedAtMillis())
             .setRate(share * stated.requestsPerSecond())
+            .setShare(share)
             .setAge(sentAtMillis - stated.statedAtMillis())
             .build();
     return transport
@@ -116,12 +117,10 @@
   }
 
   private Decision acquireFromOwnShare(UpstreamEntry upstream, StatedLimit stated, long now) {
-    double rate = stated.requestsPerSecond() / siteClient.routerCount();
-    Decision decision =
-        ownShare.acquire(
-            upstream.id() + "#" + upstream.startedAtMillis(),
-            new StatedLimit(rate, stated.statedAtMillis()),
-            now);
-    return new Decision(decision.granted(), decision.retryAfterMillis(), stated);
+    return ownShare.acquire(
+        upstream.id() + "#" + upstream.startedAtMillis(),
+        stated,
+        1.0 / siteClient.routerCount(),
+        now);
   }
 }
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PermitService.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PermitService.java
@@ -42,16 +42,20 @@
 
   private Body decide(PermitRequest request) {
     long now = clock.nowMillis();
+    // Earlier routers state their share of the rate alone.
+    boolean statesShare = request.getShare() > 0 && request.getShare() <= 1;
+    double share = statesShare ? request.getShare() : 1;
     RatePermits.Decision decision =
         permits.acquire(
             request.getUpstream() + "#" + request.getStartedAt(),
-            new StatedLimit(request.getRate(), now - request.getAge()),
+            new StatedLimit(request.getRate() / share, now - request.getAge()),
+            share,
             now);
     PermitReply reply =
         PermitReply.newBuilder()
             .setGranted(decision.granted())
             .setRetryAfter(decision.retryAfterMillis())
-            .setRate(decision.limit().requestsPerSecond())
+            .setRate(decision.limit().requestsPerSecond() * share)
             .setAge(now - decision.limit().statedAtMillis())
             .build();
     return Body.newBuilder().setPermitReply(reply).build();
--- a/daemon/src/test/java/org/goldcrestfall/daemon/gateway/UpstreamLimitTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/gateway/UpstreamLimitTest.java
@@ -3,11 +3,16 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.goldcrestfall.daemon.gateway.GatewayFixture.route;
 
+import com.google.common.util.concurrent.Futures;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import net.jqwik.api.Example;
 import net.jqwik.api.lifecycle.AfterTry;
@@ -163,4 +168,44 @@
           .startsWith("HTTP/1.1 200 ");
     }
   }
+
+  /**
+   * Guards against an upstream that once took no requests and never gets one again, at a router
+   * that learned of its limit as well as at one that gets its first request later (review/14).
+   */
+  @Example
+  void upstreamThatTookNoRequestsForSomeTimeIsServedAgain() throws Exception {
+    boolean[] inNeed = {true};
+    ScriptedUpstream limited =
+        addUpstream("u1", c -> c.reply(200, SIGNED + (inNeed[0] ? "X-Limit: 0\r\n" : ""), "ok"));
+    routers.get(0).call("GET", "/safe/a", "", "");
+    routers.get(1).call("GET", "/safe/a", "", "");
+    final int before = limited.calls.size();
+    long needEndsMillis = System.currentTimeMillis() + RUN_MILLIS;
+    while (System.currentTimeMillis() < needEndsMillis) {
+      routers.get(0).call("GET", "/safe/a", "", "");
+      routers.get(1).call("GET", "/safe/a", "", "");
+    }
+    // What the rule tolerates in 4 s at a limit of 0.
+    assertThat(limited.calls.size() - before).isLessThanOrEqualTo(5);
+    inNeed[0] = false;
+    for (GatewayFixture r : routers) {
+      GatewayFixture.await(() -> Futures.getUnchecked(callAsync(r)).startsWith("HTTP/1.1 200 "));
+    }
+    for (int i = 0; i < 20 * ROUTERS; i++) {
+      assertThat(routers.get(i % ROUTERS).call("GET", "/safe/a", "", ""))
+          .startsWith("HTTP/1.1 200 ");
+    }
+  }
+
+  private static Future<String> callAsync(GatewayFixture router) {
+    return CompletableFuture.supplyAsync(
+        () -> {
+          try {
+            return router.call("GET", "/safe/a", "", "");
+          } catch (IOException e) {
+            throw new UncheckedIOException(e);
+          }
+        });
+  }
 }
