Keep evidence for a part that this router has cleared until it is sent

Cause: found on reading the diff. A router that clears a part by itself leaves it out of its view. A newer view that still had the part then made it forget the evidence that the control group had not got yet, so that the other routers went on refusing requests with the part.

Change: only what the group no longer suspects is forgotten. No run or test shows the fault; the order of the two events takes a report in flight.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/PromptQuarantine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/PromptQuarantine.java
@@ -84,7 +84,8 @@
     }
     cleared.keySet().retainAll(next.parts().keySet());
     view = next.without(this::isCleared);
-    reporter.retainSuspects(view.parts().keySet());
+    // The group does not know yet what this router has cleared.
+    reporter.retainSuspects(next.parts().keySet());
     scheduleCheck();
   }
 
