Leave a restarted upstream in use when an earlier departure arrives late

Cause: UpstreamRegistry.markDeparted marked the known incarnation also if it started after the one that the call names, with the highest sequence number there is. The start 0 stood for "not stated" and for the least start.

Change: the start is optional. A departure of an earlier incarnation changes nothing; one without a start ends the known incarnation, as before.

--- a/core/src/main/java/org/goldcrestfall/core/registry/UpstreamRegistry.java
+++ b/core/src/main/java/org/goldcrestfall/core/registry/UpstreamRegistry.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 
 /**
  * The latest announcement of each upstream. Merging is commutative and idempotent, so registries
@@ -85,18 +86,19 @@
   }
 
   /**
-   * Marks an upstream as departed and returns the entry to send to other registries. Announcements
-   * of the same incarnation that arrive later are ignored.
+   * Marks an incarnation of an upstream as departed and returns the entry to send to other
+   * registries. Announcements of the same incarnation that arrive later are ignored. An incarnation
+   * that started later is not affected, as the call of an earlier one may arrive late.
    *
-   * @param startedAtMillis the start of the departed incarnation, or 0 if unknown; a known
-   *     incarnation that started later is marked, too
+   * @param startedAtMillis the start of the departed incarnation; empty if it is the known one
    */
-  public UpstreamEntry markDeparted(String id, long startedAtMillis, long nowMillis) {
+  public UpstreamEntry markDeparted(String id, OptionalLong startedAtMillis, long nowMillis) {
     TrackedUpstream upstream = upstreams.get(id);
+    long start = startedAtMillis.orElse(upstream == null ? 0 : upstream.entry.startedAtMillis());
     UpstreamEntry gone =
-        upstream != null && upstream.entry.startedAtMillis() >= startedAtMillis
+        upstream != null && upstream.entry.startedAtMillis() == start
             ? upstream.entry.asDeparted()
-            : UpstreamEntry.departed(id, startedAtMillis);
+            : UpstreamEntry.departed(id, start);
     merge(gone, nowMillis);
     return gone;
   }
--- a/core/src/test/java/org/goldcrestfall/core/registry/UpstreamRegistryTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/registry/UpstreamRegistryTest.java
@@ -5,6 +5,7 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Random;
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
@@ -30,18 +31,38 @@
   void announcementAfterDepartureIsRefusedButNewStartIsNot() {
     UpstreamRegistry r = new UpstreamRegistry();
     r.merge(entry("a", "1:1", UpstreamState.READY, 10, 5), 0);
-    r.markDeparted("a", 10, 1);
+    r.markDeparted("a", OptionalLong.of(10), 1);
     r.merge(entry("a", "1:1", UpstreamState.READY, 10, 6), 2);
     assertThat(r.find("a").state()).isEqualTo(UpstreamState.GONE);
     r.merge(entry("a", "1:1", UpstreamState.READY, 20, 1), 3);
     assertThat(r.find("a").state()).isEqualTo(UpstreamState.READY);
   }
 
+  /**
+   * Guards against an upstream that has started again under its id and gets no requests any more,
+   * because the departure of its earlier incarnation arrives late (review/9).
+   */
+  @Example
+  void lateDepartureOfEarlierIncarnationLeavesTheLaterOneInUse() {
+    UpstreamRegistry r = new UpstreamRegistry();
+    r.merge(entry("a", "1:1", UpstreamState.DRAINING, 10, 5), 0);
+    r.merge(entry("a", "1:1", UpstreamState.READY, 20, 1), 1);
+    long changes = r.lastChangeNumber();
+    UpstreamRegistry other = new UpstreamRegistry();
+    other.merge(entry("a", "1:1", UpstreamState.READY, 20, 1), 1);
+    other.merge(r.markDeparted("a", OptionalLong.of(10), 2), 2);
+    assertThat(r.find("a").state()).isEqualTo(UpstreamState.READY);
+    assertThat(other.find("a").state()).isEqualTo(UpstreamState.READY);
+    assertThat(r.lastChangeNumber()).isEqualTo(changes);
+    r.merge(entry("a", "1:1", UpstreamState.DRAINING, 20, 2), 3);
+    assertThat(r.find("a").state()).isEqualTo(UpstreamState.DRAINING);
+  }
+
   @Example
   void departureWithoutStartEndsTheKnownIncarnation() {
     UpstreamRegistry r = new UpstreamRegistry();
     r.merge(entry("a", "1:1", UpstreamState.READY, 10, 5), 0);
-    assertThat(r.markDeparted("a", 0, 1).startedAtMillis()).isEqualTo(10);
+    assertThat(r.markDeparted("a", OptionalLong.empty(), 1).startedAtMillis()).isEqualTo(10);
     assertThat(r.find("a").state()).isEqualTo(UpstreamState.GONE);
   }
 
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteControl.java
@@ -9,6 +9,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -239,10 +240,17 @@
     return replicate(entry);
   }
 
-  /** Marks an upstream as departed. The future completes as that of {@link #announce}. */
-  public CompletableFuture<Boolean> markDeparted(String id, long startedAtMillis) {
+  /**
+   * Marks an incarnation of an upstream as departed. The future completes as that of {@link
+   * #announce}.
+   *
+   * @param startedAtMillis the start of the incarnation; empty if it is the known one
+   */
+  public CompletableFuture<Boolean> markDeparted(String id, OptionalLong startedAtMillis) {
     UpstreamEntry gone = registry.markDeparted(id, startedAtMillis, clock.nowMillis());
-    logger.atInfo().log("site: upstream %s has departed", id);
+    logger.atInfo().log(
+        "site: upstream %s that started at %s has departed; it is %s now",
+        id, gone.startedAtMillis(), registry.find(id).state());
     answerWatches();
     return replicate(gone);
   }
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/SiteTest.java
@@ -8,6 +8,7 @@
 import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import net.jqwik.api.Example;
@@ -164,7 +165,7 @@
         });
     assertThat(next.get().getUpstreamsCount()).isEqualTo(5);
     CompletableFuture<SiteUpdate> last = watch(router, control, next.get(), 2_000);
-    site.call(() -> site.controls.get("c0").site().markDeparted("u3", 1));
+    site.call(() -> site.controls.get("c0").site().markDeparted("u3", OptionalLong.of(1)));
     assertThat(last.get().getUpstreamsList()).extracting(e -> e.getId()).containsExactly("u3");
   }
 
@@ -257,7 +258,9 @@
     SiteFixture.await(() -> router.upstreams().get("u").state() == UpstreamState.DRAINING);
     site.stopControl("c1");
     site.stopControl("c2");
-    assertThat(site.call(() -> site.controls.get("c0").site().markDeparted("u", 1))).isFalse();
+    assertThat(
+            site.call(() -> site.controls.get("c0").site().markDeparted("u", OptionalLong.of(1))))
+        .isFalse();
   }
 
   /**
