--- a/core/src/test/java/org/goldcrestfall/core/registry/UpstreamRegistryTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/registry/UpstreamRegistryTest.java
@@ -47,7 +47,7 @@
     UpstreamRegistry r = new UpstreamRegistry();
     r.merge(entry("a", "1:1", UpstreamState.DRAINING, 10, 5), 0);
     r.merge(entry("a", "1:1", UpstreamState.READY, 20, 1), 1);
-    long changes = r.lastChangeNumber();
+    final long changes = r.lastChangeNumber();
     UpstreamRegistry other = new UpstreamRegistry();
     other.merge(entry("a", "1:1", UpstreamState.READY, 20, 1), 1);
     other.merge(r.markDeparted("a", OptionalLong.of(10), 2), 2);
