Let both quarantine rules share what they do alike

Found on reading the change: companions() stood in both rules, the crash of a report was made in two places, and four loops looked up the suspect parts of a prompt. One piece of code serves each now. Evidence for a part that is not in quarantine no longer looks for outages, which sorts all known crashes of the service.

--- a/core/src/main/java/org/goldcrestfall/core/quarantine/CrashReport.java
+++ b/core/src/main/java/org/goldcrestfall/core/quarantine/CrashReport.java
@@ -19,6 +19,11 @@
     ImmutableList<String> parts,
     long atMillis) {
 
+  /** Returns the crash in which the request was lost. */
+  Crash crash() {
+    return new Crash(service, upstream, startedAtMillis);
+  }
+
   /** Returns whether both reports are about the crash of the same incarnation of an upstream. */
   boolean isSameCrash(CrashReport other) {
     return startedAtMillis == other.startedAtMillis && upstream.equals(other.upstream);
--- a/core/src/main/java/org/goldcrestfall/core/quarantine/LegacyPartQuarantine.java
+++ b/core/src/main/java/org/goldcrestfall/core/quarantine/LegacyPartQuarantine.java
@@ -87,7 +87,7 @@
     long first = Long.MAX_VALUE;
     long last = Long.MIN_VALUE;
     for (CrashReport r : reports) {
-      if (concerns(r, part) && !outages.contains(crashOf(r))) {
+      if (concerns(r, part) && !outages.contains(r.crash())) {
         requests.add(r.request());
         first = Math.min(first, r.atMillis());
         last = Math.max(last, r.atMillis());
@@ -102,18 +102,22 @@
   private Set<Crash> crashes(ServicePart part, Set<Crash> outages) {
     Set<Crash> crashes = new HashSet<>();
     for (CrashReport r : reports) {
-      if (concerns(r, part) && !outages.contains(crashOf(r))) {
-        crashes.add(crashOf(r));
+      if (concerns(r, part) && !outages.contains(r.crash())) {
+        crashes.add(r.crash());
       }
     }
     return crashes;
   }
 
+  /** Returns the crashes, other than outages, of each part in quarantine that has any. */
   private Map<ServicePart, Set<Crash>> crashesOfQuarantined() {
     Map<ServicePart, Set<Crash>> out = new LinkedHashMap<>();
     Map<String, Set<Crash>> outages = new HashMap<>();
     for (ServicePart p : quarantined.keySet()) {
-      out.put(p, crashes(p, outages.computeIfAbsent(p.service(), this::outages)));
+      Set<Crash> own = crashes(p, outages.computeIfAbsent(p.service(), this::outages));
+      if (!own.isEmpty()) {
+        out.put(p, own);
+      }
     }
     return out;
   }
@@ -124,8 +128,7 @@
     convicted.forEach(
         (part, crashes) -> {
           for (Map.Entry<ServicePart, Set<Crash>> other : convicted.entrySet()) {
-            if (!crashes.isEmpty()
-                && other.getKey().service().equals(part.service())
+            if (other.getKey().service().equals(part.service())
                 && other.getValue().size() > crashes.size()
                 && other.getValue().containsAll(crashes)) {
               quarantined.remove(part);
@@ -139,16 +142,12 @@
     Map<Crash, Long> times = new HashMap<>();
     for (CrashReport r : reports) {
       if (r.service().equals(service)) {
-        times.merge(crashOf(r), r.atMillis(), Math::min);
+        times.merge(r.crash(), r.atMillis(), Math::min);
       }
     }
     return Outages.find(times);
   }
 
-  private static Crash crashOf(CrashReport report) {
-    return new Crash(report.service(), report.upstream(), report.startedAtMillis());
-  }
-
   private static boolean concerns(CrashReport report, ServicePart part) {
     return report.service().equals(part.service()) && report.parts().contains(part.part());
   }
@@ -172,27 +171,12 @@
                 new SuspectPart(
                     part,
                     ImmutableSet.copyOf(crashed),
-                    companions(part, convicted),
+                    PartQuarantine.companions(part, convicted),
                     quarantined.getOrDefault(part, 0L),
                     Optional.empty())));
     return out.build();
   }
 
-  private static ImmutableSet<String> companions(
-      ServicePart part, Map<ServicePart, Set<Crash>> convicted) {
-    ImmutableSet.Builder<String> out = ImmutableSet.builder();
-    convicted.forEach(
-        (other, crashes) -> {
-          if (!crashes.isEmpty()
-              && !other.equals(part)
-              && other.service().equals(part.service())
-              && crashes.equals(convicted.get(part))) {
-            out.add(other.part());
-          }
-        });
-    return out.build();
-  }
-
   /** Returns whether no upstream has crashed under any part. */
   public boolean isEmpty() {
     return reports.isEmpty() && quarantined.isEmpty();
--- a/core/src/main/java/org/goldcrestfall/core/quarantine/LostAnswers.java
+++ b/core/src/main/java/org/goldcrestfall/core/quarantine/LostAnswers.java
@@ -15,7 +15,7 @@
   /** Converts the report of a release that reported only answers that had not begun. */
   public static LostAnswers of(CrashReport report) {
     return new LostAnswers(
-        new Crash(report.service(), report.upstream(), report.startedAtMillis()),
+        report.crash(),
         report.atMillis(),
         report.parts().stream()
             .map(p -> new PartLoss(p, ImmutableSet.of(report.request()), Optional.empty()))
--- a/core/src/main/java/org/goldcrestfall/core/quarantine/PartQuarantine.java
+++ b/core/src/main/java/org/goldcrestfall/core/quarantine/PartQuarantine.java
@@ -167,7 +167,7 @@
     if (!refuted && answer.progress().isPresent()) {
       return;
     }
-    if (!isConvicted(s, outages(answer.part().service()))) {
+    if (s.quarantinedAtMillis.isPresent() && !isConvicted(s, outages(answer.part().service()))) {
       s.quarantinedAtMillis = OptionalLong.empty();
     }
     if (s.losses.isEmpty()) {
@@ -334,8 +334,12 @@
         s.losses.values().stream().map(Loss::soundAfter).min(AnswerProgress.SHORTEST_FIRST));
   }
 
-  private static ImmutableSet<String> companions(
-      ServicePart part, Map<ServicePart, Set<Crash>> convicted) {
+  /**
+   * Returns the other parts of the same service with the same crashes.
+   *
+   * @param convicted the crashes of the parts in quarantine, none of which is empty
+   */
+  static ImmutableSet<String> companions(ServicePart part, Map<ServicePart, Set<Crash>> convicted) {
     Set<Crash> own = convicted.get(part);
     ImmutableSet.Builder<String> out = ImmutableSet.builder();
     convicted.forEach(
--- a/core/src/main/java/org/goldcrestfall/core/quarantine/QuarantineView.java
+++ b/core/src/main/java/org/goldcrestfall/core/quarantine/QuarantineView.java
@@ -4,6 +4,7 @@
 import com.google.common.collect.ImmutableMap;
 import com.google.common.collect.Maps;
 import java.util.Collection;
+import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -40,11 +41,8 @@
     }
     Set<String> ids =
         requestSize.sharedParts().stream().map(PromptPart::id).collect(Collectors.toSet());
-    for (String id : ids) {
-      SuspectPart suspect = parts.get(new ServicePart(service, id));
-      if (suspect == null
-          || suspect.quarantinedAtMillis() == 0
-          || !ids.containsAll(suspect.companions())) {
+    for (SuspectPart suspect : suspectsOf(service, requestSize)) {
+      if (suspect.quarantinedAtMillis() == 0 || !ids.containsAll(suspect.companions())) {
         continue;
       }
       long remaining = suspect.quarantinedAtMillis() + PartQuarantine.QUARANTINE_MILLIS - nowMillis;
@@ -67,18 +65,9 @@
    */
   public boolean mayCrashNext(
       String service, RequestSize requestSize, String upstream, boolean begun, int lostAttempts) {
-    if (parts.isEmpty()) {
-      return false;
-    }
     int needed = begun && lostAttempts < 2 ? 2 : 1;
-    for (PromptPart p : requestSize.sharedParts()) {
-      SuspectPart suspect = parts.get(new ServicePart(service, p.id()));
-      if (suspect != null
-          && suspect.upstreams().stream().filter(u -> !u.equals(upstream)).count() >= needed) {
-        return true;
-      }
-    }
-    return false;
+    return suspectsOf(service, requestSize).stream()
+        .anyMatch(s -> s.upstreams().stream().filter(u -> !u.equals(upstream)).count() >= needed);
   }
 
   /**
@@ -86,14 +75,20 @@
    * cause a crash, or nothing if none can show this before the end of the answer.
    */
   public Optional<AnswerProgress> soundAfter(String service, RequestSize requestSize) {
+    return suspectsOf(service, requestSize).stream()
+        .flatMap(s -> s.soundAfter().stream())
+        .min(AnswerProgress.SHORTEST_FIRST);
+  }
+
+  /** Returns the suspect ones of the shared parts of a prompt. */
+  public List<SuspectPart> suspectsOf(String service, RequestSize requestSize) {
     if (parts.isEmpty()) {
-      return Optional.empty();
+      return List.of();
     }
     return requestSize.sharedParts().stream()
         .map(p -> parts.get(new ServicePart(service, p.id())))
         .filter(Objects::nonNull)
-        .flatMap(s -> s.soundAfter().stream())
-        .min(AnswerProgress.SHORTEST_FIRST);
+        .toList();
   }
 
   /** Returns this view without the parts that a condition holds for. */
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/PromptQuarantine.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/PromptQuarantine.java
@@ -132,10 +132,9 @@
 
   /** Reports an answer that is being written, if it has come far enough to clear suspect parts. */
   void onWritten(Upstream upstream, RequestSize requestSize, AnswerProgress progress) {
-    for (PromptPart p : requestSize.sharedParts()) {
-      SuspectPart suspect = view.parts().get(new ServicePart(upstream.entry().service(), p.id()));
-      if (suspect != null && suspect.soundAfter().filter(progress::reaches).isPresent()) {
-        report(suspect, Optional.of(progress));
+    for (SuspectPart s : view.suspectsOf(upstream.entry().service(), requestSize)) {
+      if (s.soundAfter().filter(progress::reaches).isPresent()) {
+        report(s, Optional.of(progress));
       }
     }
   }
