--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlReplica.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/ControlReplica.java
@@ -255,9 +255,9 @@
     return consensus.departure(memberId);
   }
 
-  /** Returns the voters whose replies may decide. Must be called on the consensus thread. */
-  List<Member> decidingVoters() {
-    return consensus.decidingMembers().stream().filter(Member::voter).toList();
+  /** Returns the members whose replies may decide. Must be called on the consensus thread. */
+  List<Member> decidingMembers() {
+    return consensus.decidingMembers();
   }
 
   Identity identity() {
--- a/daemon/src/main/java/org/goldcrestfall/daemon/control/GroupJoiner.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/control/GroupJoiner.java
@@ -90,8 +90,7 @@
     Set<String> addresses = new LinkedHashSet<>(settings.joinAddresses().get());
     addresses.addAll(replica.askingAddresses());
     addresses.addAll(settings.members().values());
-    replica.status().members().all().forEach(m -> addresses.add(m.address()));
-    replica.decidingVoters().forEach(m -> addresses.add(m.address()));
+    replica.decidingMembers().forEach(m -> addresses.add(m.address()));
     contactedAddresses.clear();
     contactedAddresses.add(settings.address());
     addresses.forEach(this::sendJoinRequest);
@@ -104,7 +103,9 @@
       return;
     }
     List<Member> expected =
-        replica.decidingVoters().stream().filter(m -> m.address().equals(address)).toList();
+        replica.decidingMembers().stream()
+            .filter(m -> m.voter() && m.address().equals(address))
+            .toList();
     JoinRequest request =
         JoinRequest.newBuilder()
             .setHost(settings.host())
