Check for evacuated upstreams in one place of Exchange

The same condition stood twice. The id that goes with an attempt is made once, and the time of the last byte is -1 while there is none, as that of the first one is. Behaviour is unchanged.

--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Attempt.java
@@ -61,7 +61,7 @@
   private final long uncachedTokens;
   private final double expectedFirstByteMillis;
   private long firstByteAtMillis = -1;
-  private long lastByteAtMillis;
+  private long lastByteAtMillis = -1;
   private boolean open = true;
   private QuarantineView knownView = QuarantineView.EMPTY;
 
@@ -289,7 +289,7 @@
 
   /** Returns how far the answer was written; empty if no part of it has arrived. */
   private Optional<AnswerProgress> progress() {
-    boolean begun = lastByteAtMillis > 0 && (!streaming || events() > 0);
+    boolean begun = lastByteAtMillis >= 0 && (!streaming || events() > 0);
     return begun
         ? Optional.of(new AnswerProgress(lastByteAtMillis - firstByteAtMillis, events()))
         : Optional.empty();
--- a/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/gateway/Exchange.java
@@ -11,6 +11,7 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.util.concurrent.ScheduledFuture;
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Locale;
@@ -141,8 +142,7 @@
     if (endIfQuarantined()) {
       return;
     }
-    if (gateway.upstreams().ready(service).values().stream()
-        .allMatch(u -> gateway.isEvacuated(u.entry().zone()))) {
+    if (areEvacuated(gateway.upstreams().ready(service).values())) {
       // Tokens that are reserved for nothing would be lost if this router is killed.
       refuseForLackOfUpstreams();
       return;
@@ -272,9 +272,14 @@
     }
   }
 
+  /** Returns whether none of the upstreams may get requests because of the zone that it is in. */
+  private boolean areEvacuated(Collection<Upstream> upstreams) {
+    return upstreams.stream().allMatch(u -> gateway.isEvacuated(u.entry().zone()));
+  }
+
   private void refuseForLackOfUpstreams() {
     var ready = gateway.upstreams().ready(service).values();
-    if (!ready.isEmpty() && ready.stream().allMatch(u -> gateway.isEvacuated(u.entry().zone()))) {
+    if (!ready.isEmpty() && areEvacuated(ready)) {
       refuse(
           ErrorKind.NO_UPSTREAM,
           "All upstreams of the service are in evacuated zones.",
@@ -340,17 +345,18 @@
     triedUpstreams.add(upstream.entry().id());
     boolean streaming =
         route.kind() == RouteKind.STREAMING && !request.head().method().equals(HttpMethod.HEAD);
+    String requestId = Strings.nullToEmpty(id);
     currentAttempt =
         new Attempt(
             gateway,
             connection,
-            Strings.nullToEmpty(id),
+            requestId,
             requestSize,
             callerResponse,
             streaming,
             route.resumable(),
             this);
-    connection.send(upstreamRequest(upstream, now), Strings.nullToEmpty(id), currentAttempt);
+    connection.send(upstreamRequest(upstream, now), requestId, currentAttempt);
   }
 
   private FullHttpRequest upstreamRequest(Upstream upstream, long now) {
