--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/QuarantineCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/QuarantineCodec.java
@@ -124,18 +124,15 @@
   private static org.goldcrestfall.wire.generated.LostAnswers encodeLost(LostAnswers l) {
     var out =
         org.goldcrestfall.wire.generated.LostAnswers.newBuilder()
-            .setService(l.crash().service())
-            .setUpstream(l.crash().upstream())
-            .setStartedAt(l.crash().startedAtMillis())
-            .setAt(l.atMillis());
+            .setCrash(encodeCrash(l.crash(), l.atMillis()));
     l.parts().forEach(p -> out.addParts(encodePartLoss(p)));
     return out.build();
   }
 
   private static LostAnswers decodeLost(org.goldcrestfall.wire.generated.LostAnswers l) {
     return new LostAnswers(
-        new Crash(l.getService(), l.getUpstream(), l.getStartedAt()),
-        l.getAt(),
+        decodeCrash(l.getCrash()),
+        l.getCrash().getAt(),
         l.getPartsList().stream()
             .map(QuarantineCodec::decodePartLoss)
             .collect(ImmutableList.toImmutableList()));
