Split demands, waiting requests and grant rules off PrepaidLedger

The file had grown to 486 lines, of which a newcomer had to read the messages before the ledger; it has 396 now. Two methods that the ledger calls are package-private in place of private. Behaviour is unchanged; the tests of the prepaid package and of the site pass.

--- a/core/src/main/java/org/goldcrestfall/core/prepaid/HoldingPolicy.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/HoldingPolicy.java
@@ -75,7 +75,7 @@
    * @param routers the number of routers of the site, at least 1
    * @param ledgerTimedOut whether the reserve is being opened because the ledger does not answer
    */
-  public static Optional<PrepaidLedger.Demand> nextDemand(
+  public static Optional<Demand> nextDemand(
       String workspace,
       PrepaidAccount account,
       long total,
--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidAccount.java
@@ -109,10 +109,10 @@
   }
 
   /**
-   * Returns the demand to send to the ledger, with the current totals; see {@link
-   * PrepaidLedger.Demand} for the arguments.
+   * Returns the demand to send to the ledger, with the current totals; see {@link Demand} for the
+   * arguments.
    */
-  public PrepaidLedger.Demand demandFor(String workspace, long wanted, long needed, long toOpen) {
+  public Demand demandFor(String workspace, long wanted, long needed, long toOpen) {
     return newDemand(workspace, wanted, needed, toOpen, Optional.empty());
   }
 
@@ -120,7 +120,7 @@
    * Returns the demand to send to the ledger for the requests that wait; {@code wanted} and {@code
    * toOpen} do not count them.
    */
-  public PrepaidLedger.Demand demandWithWaiting(String workspace, long wanted, long toOpen) {
+  public Demand demandWithWaiting(String workspace, long wanted, long toOpen) {
     long missingOpen = Math.max(0, waiting - free);
     long missing = Math.max(0, missingOpen - unopened());
     ImmutableList<Long> sizes =
@@ -133,16 +133,12 @@
         Math.max(missing, wanted),
         missing,
         Math.max(missingOpen, toOpen),
-        Optional.of(new PrepaidLedger.Waiting(sizes, wanted, toOpen)));
+        Optional.of(new Waiting(sizes, wanted, toOpen)));
   }
 
-  private PrepaidLedger.Demand newDemand(
-      String workspace,
-      long wanted,
-      long needed,
-      long toOpen,
-      Optional<PrepaidLedger.Waiting> waitingRequests) {
-    return new PrepaidLedger.Demand(
+  private Demand newDemand(
+      String workspace, long wanted, long needed, long toOpen, Optional<Waiting> waitingRequests) {
+    return new Demand(
         workspace,
         returnedTotal,
         openReturnedTotal,
--- a/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
+++ b/core/src/main/java/org/goldcrestfall/core/prepaid/PrepaidLedger.java
@@ -1,11 +1,9 @@
 package org.goldcrestfall.core.prepaid;
 
-import com.google.common.collect.ImmutableList;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Optional;
 import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.goldcrestfall.core.common.TokenCount;
@@ -41,94 +39,6 @@
   /** A router is told to return tokens if it holds this multiple of what it should. */
   private static final double EXCESS_RATIO = 1.3;
 
-  /**
-   * The demand of a router incarnation for one workspace, in tokens. Totals are cumulative over the
-   * lifetime of the incarnation.
-   *
-   * @param returnedTotal all returned tokens
-   * @param openReturnedTotal the part of the returned tokens that was open
-   * @param openedTotal all opened tokens
-   * @param wanted the tokens that the router wants to hold in addition
-   * @param needed the part of {@code wanted} that a waiting request needs; it is granted even if
-   *     few tokens are available
-   * @param toOpen the tokens of the reserve to open now
-   * @param held the tokens that no request uses, open or not
-   * @param waiting the requests behind {@code needed}; empty if the router's build does not name
-   *     them
-   */
-  public record Demand(
-      String workspace,
-      long returnedTotal,
-      long openReturnedTotal,
-      long openedTotal,
-      long wanted,
-      long needed,
-      long toOpen,
-      long held,
-      Optional<Waiting> waiting) {
-
-    /** Takes counts out of the range of a {@link TokenCount} for the nearest one. */
-    public Demand {
-      returnedTotal = TokenCount.clamp(returnedTotal);
-      openReturnedTotal = TokenCount.clamp(openReturnedTotal);
-      openedTotal = TokenCount.clamp(openedTotal);
-      wanted = TokenCount.clamp(wanted);
-      needed = TokenCount.clamp(needed);
-      toOpen = TokenCount.clamp(toOpen);
-      held = TokenCount.clamp(held);
-    }
-
-    /**
-     * Returns the waiting requests, or one that needs all that is missing if they are not named.
-     */
-    private Waiting waitingOrSum() {
-      return waiting.orElseGet(
-          () ->
-              needed == 0
-                  ? new Waiting(ImmutableList.of(), wanted, toOpen)
-                  : new Waiting(ImmutableList.of(needed + held), wanted, 0));
-    }
-  }
-
-  /**
-   * The requests of a router that wait for tokens.
-   *
-   * @param sizes the tokens that each request reserves, in the order of arrival
-   * @param wanted the tokens that the router wants to hold in addition, without these requests
-   * @param toOpen the tokens of the reserve to open now, without these requests
-   */
-  public record Waiting(ImmutableList<Long> sizes, long wanted, long toOpen) {
-
-    /** Takes counts out of the range of a {@link TokenCount} for the nearest one. */
-    public Waiting {
-      sizes = sizes.stream().map(TokenCount::clamp).collect(ImmutableList.toImmutableList());
-      wanted = TokenCount.clamp(wanted);
-      toOpen = TokenCount.clamp(toOpen);
-    }
-
-    /** Returns the tokens of those requests that a number of tokens covers together. */
-    private long covered(long tokens) {
-      long covered = 0;
-      for (long size : sizes) {
-        if (covered + size <= tokens) {
-          covered += size;
-        }
-      }
-      return covered;
-    }
-  }
-
-  /** Rules by which the ledger grants tokens to waiting requests. */
-  public enum GrantRule {
-    /** As many as are available, though they may not cover a request. */
-    PARTS_OF_REQUESTS,
-    /**
-     * Only what covers whole requests. Tokens that are opened for a request which is then refused
-     * would be lost with the router.
-     */
-    WHOLE_REQUESTS
-  }
-
   /**
    * The answer to a {@link Demand}: the cumulative totals of granted and opened tokens, and the
    * tokens that no router holds.
--- a/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
+++ b/core/src/main/java/org/goldcrestfall/core/site/SiteCommand.java
@@ -3,9 +3,10 @@
 import com.google.common.collect.ImmutableMap;
 import java.util.List;
 import org.goldcrestfall.core.consensus.ProtocolVersion;
+import org.goldcrestfall.core.prepaid.Demand;
+import org.goldcrestfall.core.prepaid.GrantRule;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.LeaderTime;
-import org.goldcrestfall.core.prepaid.PrepaidLedger;
 import org.goldcrestfall.core.quarantine.CrashReport;
 import org.goldcrestfall.core.quarantine.LostAnswers;
 import org.goldcrestfall.core.quarantine.ServicePart;
@@ -34,9 +35,9 @@
       String router,
       long number,
       IncarnationTimes times,
-      List<PrepaidLedger.Demand> demands,
+      List<Demand> demands,
       LeaderTime proposedAt,
-      PrepaidLedger.GrantRule rule)
+      GrantRule rule)
       implements SiteCommand {}
 
   /**
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/HoldingPolicyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/HoldingPolicyTest.java
@@ -11,7 +11,7 @@
   private static final String WORKSPACE = "w";
   private static final long TOTAL = 1_000_000;
 
-  private static PrepaidLedger.Demand demandOf(PrepaidAccount account, long nowMillis) {
+  private static Demand demandOf(PrepaidAccount account, long nowMillis) {
     return HoldingPolicy.nextDemand(WORKSPACE, account, TOTAL, 5, false, nowMillis).orElseThrow();
   }
 
@@ -26,7 +26,7 @@
         new PrepaidLedger.Allotment(WORKSPACE, 5_000, 3_000, 500_000, 500_000, Long.MAX_VALUE), 0);
     account.addWaiting(TokenCount.of(40_000));
     account.addWaiting(TokenCount.of(30_000));
-    PrepaidLedger.Demand demand = demandOf(account, 0);
+    Demand demand = demandOf(account, 0);
     assertThat(demand.needed()).isEqualTo(65_000);
     assertThat(demand.toOpen()).isEqualTo(67_000);
     account.removeWaiting(TokenCount.of(30_000));
@@ -40,7 +40,7 @@
         new PrepaidLedger.Allotment(WORKSPACE, 50_000, 30_000, 500_000, 500_000, Long.MAX_VALUE),
         0);
     account.addWaiting(TokenCount.of(40_000));
-    PrepaidLedger.Demand demand = demandOf(account, 0);
+    Demand demand = demandOf(account, 0);
     assertThat(demand.returnedTotal()).isZero();
     assertThat(demand.toOpen()).isEqualTo(10_000);
   }
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/KilledRoutersTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/KilledRoutersTest.java
@@ -24,7 +24,7 @@
 final class KilledRoutersTest {
 
   private static final String WORKSPACE = "w";
-  private static final PrepaidLedger.GrantRule RULE = PrepaidLedger.GrantRule.WHOLE_REQUESTS;
+  private static final GrantRule RULE = GrantRule.WHOLE_REQUESTS;
   private static final long TOTAL = 500_000;
   private static final int ROUTERS = 5;
   private static final long RENEW_INTERVAL_MILLIS = 500;
@@ -74,7 +74,7 @@
 
     void renew() {
       account.openReserve(schedule.advance(now));
-      List<PrepaidLedger.Demand> demands =
+      List<Demand> demands =
           HoldingPolicy.nextDemand(WORKSPACE, account, TOTAL, ROUTERS, schedule.isOpening(now), now)
               .map(List::of)
               .orElse(List.of());
--- a/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/prepaid/PrepaidEscrowPropertyTest.java
@@ -19,7 +19,7 @@
 final class PrepaidEscrowPropertyTest {
 
   private static final String WORKSPACE = "w";
-  private static final PrepaidLedger.GrantRule RULE = PrepaidLedger.GrantRule.WHOLE_REQUESTS;
+  private static final GrantRule RULE = GrantRule.WHOLE_REQUESTS;
   private static final LeaderTime NO_TIME = LeaderTime.NONE;
 
   private static final long OPEN_RESERVE_AFTER_MILLIS = ReserveSchedule.DELAY_MILLIS;
@@ -135,7 +135,7 @@
           IncarnationTimes times = r.times(now, time - now);
           // A renewal without news of the workspace has no demand for it.
           boolean heartbeat = !r.account.hasUnreportedOpenings() && random.nextInt(3) == 0;
-          List<PrepaidLedger.Demand> demands = heartbeat ? List.of() : List.of(demand);
+          List<Demand> demands = heartbeat ? List.of() : List.of(demand);
           LeaderTime proposedAt = leader.now(time);
           var answers =
               ledger.renew(r.name, ++r.lastRenewalNumber, times, demands, proposedAt, RULE);
@@ -250,8 +250,8 @@
     ledger.setTotals(Map.of(WORKSPACE, total));
     for (int i = 1; i <= 30; i++) {
       String router = "r" + random.nextInt(3);
-      PrepaidLedger.Demand odd =
-          new PrepaidLedger.Demand(
+      Demand odd =
+          new Demand(
               WORKSPACE,
               odd(random),
               odd(random),
@@ -304,13 +304,12 @@
         NO_TIME);
   }
 
-  private static PrepaidLedger.Demand demand(long wanted, long needed, long toOpen) {
-    return new PrepaidLedger.Demand(
-        WORKSPACE, 0, 0, 0, wanted, needed, toOpen, 0, Optional.empty());
+  private static Demand demand(long wanted, long needed, long toOpen) {
+    return new Demand(WORKSPACE, 0, 0, 0, wanted, needed, toOpen, 0, Optional.empty());
   }
 
   private static PrepaidLedger.Allotment renew(
-      PrepaidLedger ledger, String router, long number, PrepaidLedger.Demand demand) {
+      PrepaidLedger ledger, String router, long number, Demand demand) {
     return ledger
         .renew(
             router,
--- a/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
+++ b/core/src/test/java/org/goldcrestfall/core/site/SiteStateTest.java
@@ -12,10 +12,10 @@
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
+import org.goldcrestfall.core.prepaid.Demand;
+import org.goldcrestfall.core.prepaid.GrantRule;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.LeaderTime;
-import org.goldcrestfall.core.prepaid.PrepaidLedger;
-import org.goldcrestfall.core.prepaid.PrepaidLedger.GrantRule;
 import org.goldcrestfall.core.quarantine.CrashReport;
 import org.goldcrestfall.core.quarantine.LostAnswers;
 
@@ -86,7 +86,7 @@
   void restoredStateKeepsGrantedTokens() {
     SiteState state = new SiteState();
     state.apply(1, put(1, 100));
-    var demand = List.of(new PrepaidLedger.Demand("w", 0, 0, 0, 20, 0, 0, 0, Optional.empty()));
+    var demand = List.of(new Demand("w", 0, 0, 0, 20, 0, 0, 0, Optional.empty()));
     state.apply(
         2,
         new SiteCommand.RenewAllotments(
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/PrepaidTokens.java
@@ -15,6 +15,8 @@
 import org.goldcrestfall.core.common.TokenCount;
 import org.goldcrestfall.core.gateway.GatewayConfiguration;
 import org.goldcrestfall.core.gateway.WorkspaceSettings;
+import org.goldcrestfall.core.prepaid.Demand;
+import org.goldcrestfall.core.prepaid.GrantRule;
 import org.goldcrestfall.core.prepaid.HoldingPolicy;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.LeaderTime;
@@ -339,8 +341,8 @@
   }
 
   /** Returns the demands to send to the ledger. */
-  private List<PrepaidLedger.Demand> demands() {
-    List<PrepaidLedger.Demand> demands = new ArrayList<>();
+  private List<Demand> demands() {
+    List<Demand> demands = new ArrayList<>();
     totals.forEach(
         (workspace, total) ->
             HoldingPolicy.nextDemand(
@@ -355,7 +357,7 @@
   }
 
   private CompletableFuture<Void> commitRenewal() {
-    List<PrepaidLedger.Demand> demands = demands();
+    List<Demand> demands = demands();
     long now = steadyClock.nowMillis();
     if (demands.isEmpty() && now - renewalSentAtMillis < HEARTBEAT_INTERVAL_MILLIS) {
       return renewal;
@@ -379,7 +381,7 @@
     return renewal;
   }
 
-  private byte[] command(List<PrepaidLedger.Demand> demands, long now) {
+  private byte[] command(List<Demand> demands, long now) {
     IncarnationTimes times =
         new IncarnationTimes(
             host,
@@ -397,7 +399,7 @@
             demands,
             LeaderTime.NONE,
             // The leader stamps the rule of the group.
-            PrepaidLedger.GrantRule.PARTS_OF_REQUESTS));
+            GrantRule.PARTS_OF_REQUESTS));
   }
 
   private void applyReply(byte[] reply) {
@@ -420,7 +422,7 @@
 
   /** Returns all tokens that no request uses to the ledger. Call before this router stops. */
   public CompletableFuture<Void> returnAll() {
-    List<PrepaidLedger.Demand> demands = new ArrayList<>();
+    List<Demand> demands = new ArrayList<>();
     accounts.forEach(
         (workspace, account) -> {
           account.returnTokens(account.free() + account.unopened());
--- a/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
+++ b/daemon/src/main/java/org/goldcrestfall/daemon/site/SiteCodec.java
@@ -12,9 +12,12 @@
 import java.util.Optional;
 import java.util.OptionalLong;
 import org.goldcrestfall.core.consensus.ProtocolVersion;
+import org.goldcrestfall.core.prepaid.Demand;
+import org.goldcrestfall.core.prepaid.GrantRule;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.LeaderTime;
 import org.goldcrestfall.core.prepaid.PrepaidLedger;
+import org.goldcrestfall.core.prepaid.Waiting;
 import org.goldcrestfall.core.registry.UpstreamState;
 import org.goldcrestfall.core.site.DaemonDirectory;
 import org.goldcrestfall.core.site.EvacuatedZones;
@@ -62,7 +65,7 @@
               .setRouter(c.router())
               .setNumber(c.number())
               .setLife(encodeTimes(c.times()));
-      for (PrepaidLedger.Demand d : c.demands()) {
+      for (Demand d : c.demands()) {
         AllotmentDemand.Builder demand =
             AllotmentDemand.newBuilder()
                 .setWorkspace(d.workspace())
@@ -98,10 +101,10 @@
         return new SiteCommand.PutConfiguration(
             put.getVersion(), put.getDocument().toByteArray(), decodeTotals(put.getTotalsList()));
       case RENEW:
-        List<PrepaidLedger.Demand> demands = new ArrayList<>();
+        List<Demand> demands = new ArrayList<>();
         for (AllotmentDemand d : decoded.getRenew().getDemandsList()) {
           demands.add(
-              new PrepaidLedger.Demand(
+              new Demand(
                   d.getWorkspace(),
                   d.getReturnedTotal(),
                   d.getOpenReturnedTotal(),
@@ -119,8 +122,8 @@
             demands,
             decodeLeaderTime(decoded.getProposedAt()),
             decoded.getProtocol() >= ProtocolVersion.JOINT_CHANGES
-                ? PrepaidLedger.GrantRule.WHOLE_REQUESTS
-                : PrepaidLedger.GrantRule.PARTS_OF_REQUESTS);
+                ? GrantRule.WHOLE_REQUESTS
+                : GrantRule.PARTS_OF_REQUESTS);
       case CRASHES:
         return QuarantineCodec.decodeReport(decoded.getCrashes(), decoded.getProtocol());
       case REGISTRATION:
@@ -133,7 +136,7 @@
     }
   }
 
-  private static WaitingRequests encodeWaiting(PrepaidLedger.Waiting waiting) {
+  private static WaitingRequests encodeWaiting(Waiting waiting) {
     return WaitingRequests.newBuilder()
         .addAllSizes(waiting.sizes())
         .setWanted(waiting.wanted())
@@ -141,8 +144,8 @@
         .build();
   }
 
-  private static PrepaidLedger.Waiting decodeWaiting(WaitingRequests waiting) {
-    return new PrepaidLedger.Waiting(
+  private static Waiting decodeWaiting(WaitingRequests waiting) {
+    return new Waiting(
         ImmutableList.copyOf(waiting.getSizesList()), waiting.getWanted(), waiting.getToOpen());
   }
 
--- a/daemon/src/test/java/org/goldcrestfall/daemon/site/OddMessageTest.java
+++ b/daemon/src/test/java/org/goldcrestfall/daemon/site/OddMessageTest.java
@@ -13,10 +13,10 @@
 import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
+import org.goldcrestfall.core.prepaid.Demand;
+import org.goldcrestfall.core.prepaid.GrantRule;
 import org.goldcrestfall.core.prepaid.IncarnationTimes;
 import org.goldcrestfall.core.prepaid.LeaderTime;
-import org.goldcrestfall.core.prepaid.PrepaidLedger;
-import org.goldcrestfall.core.prepaid.PrepaidLedger.GrantRule;
 import org.goldcrestfall.core.quarantine.AnswerProgress;
 import org.goldcrestfall.core.quarantine.Crash;
 import org.goldcrestfall.core.quarantine.CrashReport;
@@ -102,8 +102,8 @@
         : Optional.empty();
   }
 
-  private static PrepaidLedger.Demand demand(Random r) {
-    return new PrepaidLedger.Demand(
+  private static Demand demand(Random r) {
+    return new Demand(
         text(r),
         number(r),
         number(r),
